Log each bad end with its story, and what came and went every 5 s

The courier's log held one line for each process, so a request that ended badly could not be followed. Now a message that ends undelivered leaves a line with its id, class, destination, age, attempts, the time to its first attempt, the last outcome and how its destination stood (window, calls out, rate, limit told, waits).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -245,6 +246,29 @@
         sleep();
     }
 
+    @Override
+    public String describe(final long id) {
+        final StringBuilder text = new StringBuilder("slots " + callsOut + "/" + settings.limits().slots());
+        final Destination destination = destinations.get(id);
+        if (destination != null) {
+            text.append(", waiting ").append(destination.waiting.size());
+            destination.lanes.forEach(lane -> text.append(describe(lane)));
+        }
+        return text.toString();
+    }
+
+    private String describe(final Lane lane) {
+        return String.format(Locale.ROOT, "; %s %s%s out %d/%d window %.1f rate %.1f spacing %.1f told %.1f"
+                + " pace %.2f wait %d pause %d trial %d ms", lane.kind.name(), lane.phase,
+                lane.slow ? " slow" : "", lane.calls.size(), cap(lane), lane.window, lane.rate, lane.spacing, lane.told, lane.pace,
+                aheadMs(lane.waitUntilUs), aheadMs(lane.pauseUntilUs),
+                lane.phase == Phase.OUT ? aheadMs(lane.nextTrialUs) : 0);
+    }
+
+    private long aheadMs(final long atUs) {
+        return Math.max(0, atUs - nowUs) / 1000;
+    }
+
     // ---------------------------------------------------------------- dispatch
 
     /** Sends, best first, until no slot is free or no message may go. */
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -145,4 +145,7 @@
 
     /** All that happened by now has been told, or a wake-up fell due: act on it. */
     void decide(long nowUs);
+
+    /** How a destination stands with this courier, in a few words for the log; it changes nothing. */
+    String describe(long destination);
 }
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -86,6 +86,11 @@
         }
     }
 
+    /** What the courier goes by, in one line for the log. */
+    String describe() {
+        return name + ": " + sockets + " sockets, " + diskBytes + " bytes of disk, " + settings;
+    }
+
     /** Nested values as the wire names them: paths with dots, plain lists joined, lists of objects counted. */
     private static void flatten(final String path, final JsonNode value, final Map<String, String> into) {
         final String prefix = path.isEmpty() ? "" : path + ".";
--- /dev/null
+++ b/src/main/java/driftchute/node/Counters.java
@@ -0,0 +1,41 @@
+package driftchute.node;
+
+import driftchute.Courier;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** What came and went since the last line of the log that told it. */
+final class Counters {
+    private final Map<Courier.Result, Integer> outcomes = new EnumMap<>(Courier.Result.class);
+    private int taken;
+    private int turnedAway;
+    private int ended;
+
+    /** A message was taken. */
+    void taken() {
+        taken++;
+    }
+
+    /** A message was turned away at the door: the store or the journal was full. */
+    void turnedAway() {
+        turnedAway++;
+    }
+
+    /** A message was ended undelivered. */
+    void ended() {
+        ended++;
+    }
+
+    void outcome(final Courier.Result result) {
+        outcomes.merge(result, 1, Integer::sum);
+    }
+
+    /** The counts as text; they begin anew. */
+    String take() {
+        final String text = "taken " + taken + ", turned away " + turnedAway + ", ended undelivered " + ended
+                + ", attempts " + outcomes;
+        taken = turnedAway = ended = 0;
+        outcomes.clear();
+        return text;
+    }
+}
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -74,6 +74,7 @@
     private final Map<Long, Pool> pools = new HashMap<>();
     private final Set<Call> calls = new HashSet<>();
     private int connections;
+    private long opened;
 
     /** How a message fared in a call. {@code waitUs}: what the answer told to wait, or 0. */
     record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) { }
@@ -96,6 +97,12 @@
         loop.scheduleWithFixedDelay(this::closeOld, sweepUs, sweepUs, TimeUnit.MICROSECONDS);
     }
 
+    /** The connections, for the log: each one that is opened costs the endpoint work. */
+    String describe() {
+        return "connections " + connections + " (" + pools.values().stream().mapToInt(pool -> pool.idle.size()).sum()
+                + " idle, " + opened + " opened so far)";
+    }
+
     // ---------------------------------------------------------------- state
 
     /** The connections to one endpoint. */
@@ -229,6 +236,7 @@
             return;
         }
         connections++;
+        opened++;
         final ChannelFuture connecting = bootstrap.connect(call.pool.address);
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> connections--);
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -17,6 +17,7 @@
  */
 final class Host implements Courier.Actions {
     private static final long US_PER_MS = 1000;
+    private static final long REPORT_S = 5;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
@@ -41,12 +42,18 @@
         private Reply reply;
         private boolean over;
         private Endpoints.Call call;
+        /** For the log: when it came to this process, when it was first sent, and how it fared last. */
+        private final long sinceUs;
+        private long firstSentUs;
+        private Courier.Result lastResult;
 
-        Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Reply reply) {
+        Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Reply reply,
+             final long sinceUs) {
             this.held = held;
             this.kind = kind;
             this.validUntilUs = validUntilUs;
             this.reply = reply;
+            this.sinceUs = sinceUs;
         }
     }
 
@@ -65,6 +72,7 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
+    private final Counters counters = new Counters();
     private boolean passDue;
 
     Host(final Config config, final EventLoop loop, final Clock clock, final Journal journal) {
@@ -88,7 +96,7 @@
             if (held.notice() != null) {
                 notices.add(held);
             } else if (index == null) {
-                end(new Open(held, null, 0, null), new Held.Notice(true, 0));
+                end(new Open(held, null, 0, null, clock.nowUs()), new Held.Notice(true, 0));
             } else {
                 resume(held, index);
                 resumed++;
@@ -97,12 +105,14 @@
         if (resumed > 0) {
             Log.info("resumed " + resumed + " messages");
         }
+        Log.info(config.describe());
+        loop.scheduleWithFixedDelay(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
         touch();
     }
 
     private void resume(final Held held, final int index) {
         final Open open = new Open(held, config.settings().classes().get(index),
-                clock.fromWallUs(held.validUntilWallUs), null);
+                clock.fromWallUs(held.validUntilWallUs), null, clock.nowUs());
         final Courier.Past past = held.past(clock);
         if (held.isOut()) {
             journal.settle(held, false);
@@ -131,11 +141,13 @@
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
     void offer(final Held held, final long validUntilUs, final Reply reply) {
         if (messages.size() >= config.settings().limits().maxOpen() || !journal.take(held)) {
+            counters.turnedAway();
             reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
             return;
         }
         final int index = classes.get(held.className);
-        final Open open = new Open(held, config.settings().classes().get(index), validUntilUs, reply);
+        final Open open = new Open(held, config.settings().classes().get(index), validUntilUs, reply, clock.nowUs());
+        counters.taken();
         messages.put(held.id, open);
         unanswered.add(open);
         control.onMessage(clock.nowUs(), message(open, index));
@@ -166,6 +178,8 @@
     void outcome(final Parcel parcel, final Endpoints.Call call, final Endpoints.Answer answer) {
         final Open open = parcel.open();
         open.call = null;
+        open.lastResult = answer.result();
+        counters.outcome(answer.result());
         final boolean delivered = answer.result() == Courier.Result.DELIVERED;
         if (!open.over) {
             if (delivered || answer.over()) {
@@ -228,6 +242,7 @@
             boolean recorded = true;
             for (final Parcel parcel : some) {
                 parcel.open().call = call;
+                parcel.open().firstSentUs = parcel.open().firstSentUs == 0 ? clock.nowUs() : parcel.open().firstSentUs;
                 recorded &= journal.begin(parcel.open().held, clock.wallUs(), discovery.zone(endpoint));
             }
             if (recorded) {
@@ -260,6 +275,7 @@
         } else {
             final Reply reply = open.reply;
             forget(open);
+            ended(open, "refused, again in " + retryAfterUs / US_PER_MS + " ms");
             reply.refused(Intake.TOO_MANY, retryAfterUs);
         }
     }
@@ -275,6 +291,7 @@
         } else {
             final Reply reply = open.reply;
             forget(open);
+            ended(open, "failed");
             reply.failed();
         }
     }
@@ -285,6 +302,24 @@
         messages.remove(open.held.id);
         journal.owe(open.held, notice);
         notices.add(open.held);
+        ended(open, notice.failed() ? "failed" : "refused, again in " + notice.againMs() + " ms");
+    }
+
+    /** A message that was not delivered is worth a line: what became of it, and how its destination stood. */
+    private void ended(final Open open, final String how) {
+        final long nowUs = clock.nowUs();
+        final Held held = open.held;
+        counters.ended();
+        Log.info("message " + held.id + " " + held.className + " to " + held.destination + " " + how + ": after "
+                + (nowUs - open.sinceUs) / US_PER_MS + " ms, " + (open.validUntilUs - nowUs) / US_PER_MS + " ms left, "
+                + held.attempts() + " attempts" + (open.firstSentUs == 0 ? "" : ", first after "
+                + (open.firstSentUs - open.sinceUs) / US_PER_MS + " ms, last " + open.lastResult) + "; "
+                + control.describe(held.destination));
+    }
+
+    /** Every few seconds, what came and went. */
+    private void report() {
+        Log.info(counters.take() + "; open " + messages.size() + ", " + endpoints.describe());
     }
 
     private void forget(final Open open) {
