Read the order key from the path and keep it, so that same-key calls take turns

On sockets Host.message() built every message with the key null, and Intake.handIn() never looked at the path beyond the class: the protocol page has the key there, as its last part. So every award was free of any order.

Test: messagesOfOneKeyGoOneAtATimeInTheOrderHandedIn, seen to fail with the key null.

--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -12,6 +12,8 @@
     final String id;
     final String className;
     final String idempotencyKey;
+    /** Messages of one such key go one at a time, in the order taken; null where the class keeps no order. */
+    final String orderKey;
     final long destination;
     final long validUntilWallUs;
     final byte[] body;
@@ -26,11 +28,12 @@
     /** The end that the platform is told: a failure, or a refusal with the time after which to come again. */
     record Notice(boolean failed, long againMs) { }
 
-    Held(final String id, final String className, final String idempotencyKey, final long destination,
-         final long validUntilWallUs, final byte[] body) {
+    Held(final String id, final String className, final String idempotencyKey, final String orderKey,
+         final long destination, final long validUntilWallUs, final byte[] body) {
         this.id = id;
         this.className = className;
         this.idempotencyKey = idempotencyKey;
+        this.orderKey = orderKey;
         this.destination = destination;
         this.validUntilWallUs = validUntilWallUs;
         this.body = body;
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -122,7 +122,8 @@
     }
 
     private static Courier.Message message(final Open open, final int index) {
-        return new Courier.Message(open.held.id, index, -1, null, open.validUntilUs, open.held.destination);
+        return new Courier.Message(open.held.id, index, -1, open.held.orderKey, open.validUntilUs,
+                open.held.destination);
     }
 
     // ---------------------------------------------------------------- what the sockets bring
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -231,26 +231,29 @@
                 }
                 return;
             }
-            final String className = path.substring(Math.min(path.length(), 1)).split("/", 2)[0];
-            final Courier.MessageClass kind = host.kind(className);
+            final String[] parts = path.substring(Math.min(path.length(), 1)).split("/", 2);
+            final Courier.MessageClass kind = host.kind(parts[0]);
             if (kind == null) {
                 answer(HttpResponseStatus.NOT_FOUND, 0);
             } else if (!request.head().method().equals(HttpMethod.POST)) {
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
             } else {
-                handIn(request, kind);
+                handIn(request, kind, parts.length < 2 ? "" : parts[1].substring(parts[1].lastIndexOf('/') + 1));
             }
         }
 
-        private void handIn(final Request request, final Courier.MessageClass kind) {
+        /** Takes a message; in a class that keeps its order, the last part of the path behind the class is its key. */
+        private void handIn(final Request request, final Courier.MessageClass kind, final String last) {
             final HttpHeaders headers = request.head().headers();
             final String id = headers.get("X-Request-ID", "");
             final long timeoutMs = whole(headers.get("X-Timeout-Ms"));
             final long destination = destination(headers.get("X-Consignee"));
             final String key = headers.get("Idempotency-Key");
+            final String orderKey = kind.inTurn() ? last : null;
             final boolean keyed = kind.effect() == Courier.Effect.KEYED;
             if (id.isEmpty() || id.length() > MOST_ID_CHARS || timeoutMs < 0 || destination < 0
-                    || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())) {
+                    || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())
+                    || kind.inTurn() && (last.isEmpty() || last.length() > MOST_ID_CHARS)) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
@@ -260,7 +263,7 @@
             }
             final long lifeUs = Math.min(timeoutMs, kind.deadlineUs() / US_PER_MS) * US_PER_MS;
             currentId = id;
-            host.offer(new Held(id, kind.name(), key, destination, clock.wallUs() + lifeUs, request.body()),
+            host.offer(new Held(id, kind.name(), key, orderKey, destination, clock.wallUs() + lifeUs, request.body()),
                     clock.nowUs() + lifeUs, new Host.Reply() {
                         @Override
                         public void accepted() {
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -119,7 +119,9 @@
     }
 
     private static long bytes(final Held held) {
-        return held.body.length + 2L * held.id.length() + FATE_BYTES;
+        final int keys = (held.idempotencyKey == null ? 0 : held.idempotencyKey.length())
+                + (held.orderKey == null ? 0 : held.orderKey.length());
+        return held.body.length + 2L * held.id.length() + keys + FATE_BYTES;
     }
 
     // ---------------------------------------------------------------- writing
@@ -159,6 +161,9 @@
             out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
             out.writeLong(held.firstRunWallUs());
             out.writeUTF(held.runZone());
+            // Behind all that an older journal has, which the next process may find when the program is replaced.
+            out.writeBoolean(held.orderKey != null);
+            out.writeUTF(held.orderKey == null ? "" : held.orderKey);
         });
     }
 
@@ -266,8 +271,14 @@
             final long destination = in.readLong();
             final long validUntilWallUs = in.readLong();
             final byte[] body = in.readNBytes(in.readInt());
-            final Held taken = new Held(id, className, keyed ? key : null, destination, validUntilWallUs, body);
-            taken.restore(in.readInt(), in.readLong(), in.readUTF());
+            final int attempts = in.readInt();
+            final long firstRunWallUs = in.readLong();
+            final String runZone = in.readUTF();
+            final boolean ordered = in.available() > 0 && in.readBoolean();
+            final String orderKey = ordered ? in.readUTF() : null;
+            final Held taken = new Held(id, className, keyed ? key : null, orderKey, destination, validUntilWallUs,
+                    body);
+            taken.restore(attempts, firstRunWallUs, runZone);
             live.put(id, taken);
         } else if (held != null) {
             switch (type) {
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -24,7 +24,7 @@
     private Path folder;
 
     private static Held held(final String id, final int bytes) {
-        return new Held(id, "keyed", "key-" + id, 7, 5_000_000, new byte[bytes]);
+        return new Held(id, "keyed", "key-" + id, null, 7, 5_000_000, new byte[bytes]);
     }
 
     private List<Held> reopened() throws IOException {
@@ -36,7 +36,7 @@
     @Test
     void keepsWhatIsOwedAndForgetsWhatIsOver() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
-            final Held sent = new Held("sent", "keyed", "k", 7, 5_000_000, new byte[] {1, 2, 3});
+            final Held sent = new Held("sent", "keyed", "k", "team-1", 7, 5_000_000, new byte[] {1, 2, 3});
             final Held over = held("over", 3);
             final Held ended = held("ended", 3);
             Stream.of(sent, over, ended).forEach(one -> assertTrue(journal.take(one)));
@@ -51,6 +51,7 @@
         final Held sent = live.get(0);
         assertArrayEquals(new byte[] {1, 2, 3}, sent.body);
         assertEquals("k", sent.idempotencyKey);
+        assertEquals("team-1", sent.orderKey, "its order outlasts the process");
         final Clock clock = new Clock();
         final Courier.Past past = sent.past(clock);
         assertEquals(2, past.attempts());
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -289,6 +289,36 @@
         assertEquals(1, rig.notices.size(), "of these only the one that may have run is owed a notice: " + rig.notices);
     }
 
+    @Test
+    void messagesOfOneKeyGoOneAtATimeInTheOrderHandedIn() throws IOException {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        assertEquals(202, rig.send(Rig.inTurn("m1", "team-1")).status());
+        assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
+        assertEquals(202, rig.send(Rig.inTurn("other", "team-2")).status());
+        rig.await("the other key's call", () -> idsAt(rig.first).contains("other"));
+        assertEquals(List.of("m1", "other"), idsAt(rig.first), "the second of a key waits for the first");
+        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.requests.get(0).connection().answer(200, "");
+        rig.await("the second of the key", () -> idsAt(rig.first).contains("m2"));
+    }
+
+    @Test
+    void aMessageThatMustKeepAnOrderAndTellsNoKeyIsNotTaken() throws IOException {
+        rig.start();
+        assertEquals(400, rig.send(Rig.message("m1", "turn")).status());
+        assertEquals(400, rig.send(Rig.inTurn("m1", "")).status());
+    }
+
+    @Test
+    void aMessageThatIsNotDeliveredLeavesALineThatTellsItsStory() throws IOException {
+        rig.first.script((request, connection) -> connection.reset());
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("its line", () -> rig.log.stream().anyMatch(line -> line.startsWith("message m1 once to 7 failed")
+                && line.contains("1 attempts") && line.contains("last RESET")));
+    }
+
     // ---------------------------------------------------------------- the list
 
     @Test
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -24,7 +24,8 @@
             [{"name":"safe","effect":"pure","target":5000000,"deadline":20000000,"points":1.0},
              {"name":"keyed","effect":"token","group":"all","dedup_window":10000000,"target":5000000,"deadline":20000000},
              {"name":"brief","effect":"token","group":"all","dedup_window":300000,"target":5000000,"deadline":20000000},
-             {"name":"once","effect":"side_effect","target":5000000,"deadline":20000000}]""";
+             {"name":"once","effect":"side_effect","target":5000000,"deadline":20000000},
+             {"name":"turn","effect":"side_effect","in_turn":true,"target":5000000,"deadline":20000000}]""";
 
     /** What a client was answered. */
     record Answer(int status, String head) { }
@@ -145,6 +146,11 @@
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** A message of the class that keeps its order, with its key. */
+    static String inTurn(final String id, final String key) {
+        return message(id, "turn").replace("POST /turn ", "POST /turn/" + key + " ");
+    }
+
     Answer handIn(final String id, final String kind) throws IOException {
         return send(message(id, kind));
     }
