--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -260,8 +260,8 @@
     private String describe(final Lane lane) {
         return String.format(Locale.ROOT, "; %s %s%s out %d/%d window %.1f rate %.1f spacing %.1f told %.1f"
                 + " pace %.2f wait %d pause %d trial %d ms", lane.kind.name(), lane.phase,
-                lane.slow ? " slow" : "", lane.calls.size(), cap(lane), lane.window, lane.rate, lane.spacing, lane.told, lane.pace,
-                aheadMs(lane.waitUntilUs), aheadMs(lane.pauseUntilUs),
+                lane.slow ? " slow" : "", lane.calls.size(), cap(lane), lane.window, lane.rate, lane.spacing,
+                lane.told, lane.pace, aheadMs(lane.waitUntilUs), aheadMs(lane.pauseUntilUs),
                 lane.phase == Phase.OUT ? aheadMs(lane.nextTrialUs) : 0);
     }
 
