Handle SIGHUP: read the configuration again and move to the new discovery address

Evidence: 129 is 128 + SIGHUP, and nothing in the program handles that signal, so the JVM's default ends the process. Ruled out: an error of its own (the log ends with ordinary lines, no trace).

Mend: HangUp handles the signal; the file is read again and its discovery address, newer than the environment's, goes to Discovery and Notices. The watch goes on at the new address from the version it had; a notice that is out has its answer first. A file that cannot be read changes nothing. The JDK's signal class is reached by reflection, since naming it is a warning no annotation silences.

Tests: onSighupItMovesToTheNewDiscoveryAndServesOn and aConfigurationThatCannotBeReadAtSighupChangesNothing, both seen to fail without the handler.

--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -49,6 +49,13 @@
         return parse(root, environment);
     }
 
+    /** Reads the file again. It is newer than the environment, whose word on discovery was for the start. */
+    static Config reread(final Map<String, String> environment) throws BadConfigException {
+        final Map<String, String> lasting = new HashMap<>(environment);
+        lasting.remove("PROXY_DISCOVERY");
+        return read(lasting);
+    }
+
     static Config parse(final JsonNode root, final Map<String, String> environment) throws BadConfigException {
         if (root == null || !root.isObject()) {
             throw new BadConfigException(SOURCE + ": not a JSON object");
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -54,15 +54,30 @@
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     private long nextId = 1;
     private long seq;
+    private InetSocketAddress address;
     private Watch watch;
     private boolean pushed;
 
     Discovery(final Config config, final EventLoop loop, final Host host) {
         this.config = config;
+        this.address = config.discovery();
         this.loop = loop;
         this.host = host;
     }
 
+    /** Discovery is elsewhere now: the watch goes on there, from where it stood. */
+    void move(final InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            if (watch != null) {
+                final Watch old = watch;
+                watch = null;
+                old.close();
+                follow();
+            }
+        }
+    }
+
     /** Begins with the list as this courier last had it; it may be old. */
     void restore(final JsonNode known) {
         if (known.path("hosts").isArray()) {
@@ -102,7 +117,7 @@
                         channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
                                 new HttpClientCodec(), fresh);
                     }
-                }).connect(config.discovery()).addListener(done -> {
+                }).connect(address).addListener(done -> {
                     if (!done.isSuccess()) {
                         fresh.lost();
                     }
@@ -169,12 +184,24 @@
     /** One watch, until its connection ends. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private ChannelHandlerContext context;
+
+        @Override
+        public void handlerAdded(final ChannelHandlerContext added) {
+            context = added;
+        }
+
+        private void close() {
+            if (context != null) {
+                context.close();
+            }
+        }
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/discovery/hosts?watch=1&after=" + seq);
-            request.headers().set(HttpHeaderNames.HOST, config.discovery().getHostString());
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString());
             ctx.writeAndFlush(request);
         }
 
@@ -206,6 +233,9 @@
         }
 
         private void read(final String text) {
+            if (watch != this) {
+                return;
+            }
             try {
                 final JsonNode list = json.readTree(text);
                 apply(list, list.path("whole").asBoolean() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
--- /dev/null
+++ b/src/main/java/driftchute/node/HangUp.java
@@ -0,0 +1,37 @@
+package driftchute.node;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+
+/**
+ * SIGHUP, which ends a Java process unless something handles it. The class that can is the JDK's own, in a module that
+ * is open to all but that the compiler warns of wherever it is named; so it is named here as text alone.
+ */
+final class HangUp {
+    private static final String SIGNAL = "sun.misc.Signal";
+    private static final String HANDLER = "sun.misc.SignalHandler";
+
+    private HangUp() { }
+
+    /** Runs an action at each SIGHUP from now on, on a thread of the JDK's. */
+    static void handle(final Runnable action) {
+        final InvocationHandler handler = (proxy, method, arguments) -> switch (method.getName()) {
+            case "handle" -> {
+                action.run();
+                yield null;
+            }
+            case "equals" -> proxy == arguments[0];
+            case "hashCode" -> System.identityHashCode(proxy);
+            default -> "SIGHUP handler";
+        };
+        try {
+            final Class<?> signal = Class.forName(SIGNAL);
+            final Class<?> type = Class.forName(HANDLER);
+            final Object proxy = Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler);
+            signal.getMethod("handle", signal, type)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+        } catch (final ReflectiveOperationException e) {
+            Log.failure("SIGHUP cannot be handled and would end the courier", e);
+        }
+    }
+}
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -357,7 +357,14 @@
         loop.schedule(this::touch, delayUs, TimeUnit.MICROSECONDS);
     }
 
-    // ---------------------------------------------------------------- the end of the process
+    // ---------------------------------------------------------------- reload and the end of the process
+
+    /** The configuration has been read again: discovery may have moved. The settings hold from start to end. */
+    void reload(final Config fresh) {
+        Log.info("reload: discovery is at " + fresh.discovery());
+        discovery.move(fresh.discovery());
+        notices.move(fresh.discovery());
+    }
 
     /** This process ends at that moment: nothing is begun that cannot end by then. */
     void stopping(final long stopUs) {
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -43,6 +43,7 @@
     private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
         final Config config = Config.read(environment);
         final Main main = new Main(Journal.open(config.state(), config.diskBytes()));
+        HangUp.handle(() -> main.reload(environment));
         Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
         main.loop.execute(() -> {
             try {
@@ -73,6 +74,16 @@
         });
     }
 
+    /** On SIGHUP: what the file says now goes; one that cannot be read changes nothing, and never ends the courier. */
+    private void reload(final Map<String, String> environment) {
+        try {
+            final Config fresh = Config.reread(environment);
+            loop.execute(() -> host.reload(fresh));
+        } catch (final Config.BadConfigException e) {
+            Log.info("reload: kept what was known before: " + e.getMessage());
+        }
+    }
+
     /** On SIGTERM: goes on for a while, and leaves what is not done by then to the next process. */
     private void stop() {
         loop.execute(() -> {
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -46,7 +46,7 @@
     private static final int NO_CONTENT = 204;
     private static final int BAD_REQUEST = 400;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final EventLoop loop;
     private final Host host;
     private final ObjectMapper json = new ObjectMapper();
@@ -65,6 +65,18 @@
         this.host = host;
     }
 
+    /** The platform is elsewhere now: what is due goes there, and a request that is out has its answer first. */
+    void move(final InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            final Line old = line;
+            line = null;
+            if (old != null && !old.asked) {
+                old.context.close();
+            }
+        }
+    }
+
     /** A message has ended, and the platform is to hear of it. */
     void add(final Held held) {
         due.add(held);
@@ -90,6 +102,7 @@
 
     private void connect() {
         final Line fresh = new Line();
+        final InetSocketAddress to = address;
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -98,8 +111,11 @@
                         channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER_BYTES),
                                 fresh);
                     }
-                }).connect(address).addListener(done -> {
-                    if (done.isSuccess()) {
+                }).connect(to).addListener(done -> {
+                    if (done.isSuccess() && !to.equals(address)) {
+                        fresh.context.close();
+                        connect();
+                    } else if (done.isSuccess()) {
                         line = fresh;
                         fresh.post();
                     } else {
@@ -171,7 +187,7 @@
             }
             asked = false;
             ctx.pipeline().remove(ReadTimeoutHandler.class);
-            if (!HttpUtil.isKeepAlive(answer)) {
+            if (!HttpUtil.isKeepAlive(answer) || line != this) {
                 ctx.close();
             }
             final int status = answer.status().code();
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -371,6 +371,35 @@
         assertTrue(rig.platform.requests.get(1).line().contains("after=42"));
     }
 
+    @Test
+    void onSighupItMovesToTheNewDiscoveryAndServesOn() throws IOException, InterruptedException {
+        rig.discovery = "pushed";
+        rig.start();
+        rig.await("the watch", () -> rig.watches.size() == 1);
+        rig.first.script((request, connection) -> connection.reset());
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("a notice to the old address", () -> rig.noticed("m1", "undeliverable"));
+        try (FakeServer moved = new FakeServer(rig::platform)) {
+            rig.reload(moved);
+            rig.await("the watch at the new address", () -> rig.watches.size() == 2);
+            assertTrue(moved.requests.get(0).line().contains("after=41"), moved.requests.get(0).line());
+            assertEquals(202, rig.handIn("m2", "once").status());
+            rig.await("a notice to the new address", () -> moved.requests.stream()
+                    .anyMatch(request -> request.line().startsWith("POST") && request.text().contains("m2")));
+            rig.await("the old connections' end", () -> rig.platform.connections.stream().allMatch(one -> one.ended));
+        }
+        assertTrue(rig.isAlive());
+    }
+
+    @Test
+    void aConfigurationThatCannotBeReadAtSighupChangesNothing() throws IOException, InterruptedException {
+        rig.start();
+        rig.reloadTorn();
+        rig.await("its line", () -> rig.log.stream().anyMatch(line -> line.startsWith("reload: kept")));
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        rig.await("the call", () -> rig.first.requests.size() == 1);
+    }
+
     @Test
     void aWatchThatFallsSilentIsAskedForAgain() throws IOException {
         rig.start();
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -55,7 +55,7 @@
         this.hosts = host("e1", first, "Ready");
     }
 
-    private void platform(final FakeServer.Request request, final FakeServer.Connection connection) {
+    void platform(final FakeServer.Request request, final FakeServer.Connection connection) {
         if (request.line().startsWith("POST")) {
             notices.addAll(request.text().lines().toList());
             connection.answer(noticeStatus, "");
@@ -94,8 +94,8 @@
         return log.stream().skip(from).filter(line -> line.contains("is ready at")).findFirst().orElse(null);
     }
 
-    /** Starts the program without waiting for anything. */
-    Process launch() throws IOException {
+    /** Writes the file of the configuration, with that platform in it. */
+    private Path configure(final FakeServer at) throws IOException {
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
@@ -106,11 +106,39 @@
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":%d,"max_retry_after":2000000},%s}}"""
-                .formatted(platform.address(), diskMb, hosts, discovery, CLASSES, maxOpen, connectTimeoutUs, extraSetting));
+                .formatted(at.address(), diskMb, hosts, discovery, CLASSES, maxOpen, connectTimeoutUs, extraSetting));
+        return config;
+    }
+
+    /** Replaces the configuration and sends SIGHUP. */
+    void reload(final FakeServer at) throws IOException, InterruptedException {
+        configure(at);
+        hangUp();
+    }
+
+    /** Replaces the configuration by something that cannot be read, and sends SIGHUP. */
+    void reloadTorn() throws IOException, InterruptedException {
+        Files.writeString(folder.resolve("config.json"), "{\"name\":");
+        hangUp();
+    }
+
+    private void hangUp() throws IOException, InterruptedException {
+        assertTrue(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start()
+                .waitFor(PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Starts the program without waiting for anything. */
+    Process launch() throws IOException {
+        final Path config = configure(platform);
         final ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "driftchute.node.Main");
         builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
         process = builder.redirectErrorStream(true).start();
         final BufferedReader out = new BufferedReader(
