Let a key's next message wait until the notice of the one before is answered

Evidence: a message that ends by a notice is over only once the notice is answered, but Host.end() told the platform and Control.end() freed the key in the same pass, so the next call could be at its endpoint first. Same fault in the next process: notices still owed were sent again without their key being held. Ruled out: two lines for one key (keys are one map), and the delivered ones (their end is the 200).

Test: aKeyWaitsForTheAnswerToTheNoticeOfTheMessageBeforeAlsoInTheNextProcess, seen to fail without the place being kept.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -164,7 +166,26 @@
         busy.put(message.destination(), job.destination);
         if (job.kind.inTurn() && message.key() != null) {
             job.line = keys.computeIfAbsent(message.key(), key -> new KeyLine());
-            job.line.jobs.add(job);
+            job.line.ids.add(message.id());
+        }
+    }
+
+    @Override
+    public void onNoticeOwed(final long now, final String messageId, final String key) {
+        nowUs = now;
+        final KeyLine line = keys.computeIfAbsent(key, unused -> new KeyLine());
+        line.owed.add(messageId);
+        if (!line.ids.contains(messageId)) {
+            line.ids.add(messageId);
+        }
+    }
+
+    @Override
+    public void onNoticeAnswered(final long now, final String messageId, final String key) {
+        nowUs = now;
+        final KeyLine line = keys.get(key);
+        if (line != null && line.owed.remove(messageId)) {
+            line.ids.remove(messageId);
         }
     }
 
@@ -235,7 +256,7 @@
         if (nowUs >= nextStepUs) {
             destinations.values().forEach(d -> d.lanes.forEach(this::step));
             trustUs = Math.min(settings.limits().idleCloseUs(), TRUST_GROWTH * trustUs);
-            keys.values().removeIf(line -> line.jobs.isEmpty() && line.restUntilUs <= nowUs);
+            keys.values().removeIf(line -> line.ids.isEmpty() && line.restUntilUs <= nowUs);
             nextStepUs += SECOND_US * ((nowUs - nextStepUs) / SECOND_US + 1);
         }
         keepList();
@@ -392,7 +413,7 @@
 
     /** Rule on order: the first of its key goes, and only after the rest that an open attempt asks for. */
     private boolean inTurn(final Job job) {
-        return job.line == null || job.line.jobs.get(0) == job
+        return job.line == null || job.line.ids.get(0).equals(job.message.id())
                 && (job.mayHaveRun || job.line.restUntilUs <= nowUs);
     }
 
@@ -754,8 +775,8 @@
         job.over = true;
         job.destination.waiting.remove(job);
         if (job.call == null) {
-            if (job.line != null) {
-                job.line.jobs.remove(job);
+            if (job.line != null && !job.line.owed.contains(job.message.id())) {
+                job.line.ids.remove(job.message.id());
             }
             jobs.remove(job.message.id());
             if (--job.destination.jobs == 0) {
@@ -973,9 +994,10 @@
         }
     }
 
-    /** The messages of one key, in the order taken. */
+    /** The messages of one key, in the order taken; some have ended, and only their notice is owed. */
     private static final class KeyLine {
-        private final List<Job> jobs = new ArrayList<>();
+        private final List<String> ids = new ArrayList<>();
+        private final Set<String> owed = new HashSet<>();
         private long restUntilUs;
     }
 }
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -140,6 +140,15 @@
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
+    /**
+     * A message of that key has ended, or had when this process began, by a notice that is not answered yet: until
+     * {@link #onNoticeAnswered} it is not over for those behind it. A host whose ends are over at once never calls it.
+     */
+    void onNoticeOwed(long nowUs, String messageId, String key);
+
+    /** The notice that was owed is answered. */
+    void onNoticeAnswered(long nowUs, String messageId, String key);
+
     /** Nobody wants this message any more; it is owed no answer. */
     void onExpired(long nowUs, String messageId);
 
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -97,7 +97,7 @@
         for (final Held held : journal.live()) {
             final Integer index = classes.get(held.className);
             if (held.notice() != null) {
-                notices.add(held);
+                owe(held);
             } else if (index == null) {
                 end(new Open(held, null, 0, null, clock.nowUs()), new Held.Notice(true, 0));
             } else {
@@ -199,7 +199,13 @@
 
     /** The platform has confirmed these notices. */
     void noticed(final List<Held> confirmed) {
-        confirmed.forEach(journal::over);
+        for (final Held held : confirmed) {
+            journal.over(held);
+            if (held.orderKey != null) {
+                control.onNoticeAnswered(clock.nowUs(), held.id, held.orderKey);
+            }
+        }
+        touch();
     }
 
     // ---------------------------------------------------------------- the pass
@@ -305,10 +311,18 @@
         open.over = true;
         messages.remove(open.held.id);
         journal.owe(open.held, notice);
-        notices.add(open.held);
+        owe(open.held);
         ended(open, notice.failed() ? "failed" : "refused, again in " + notice.againMs() + " ms");
     }
 
+    /** A notice is due; a key's next message waits until it is answered. */
+    private void owe(final Held held) {
+        notices.add(held);
+        if (held.orderKey != null) {
+            control.onNoticeOwed(clock.nowUs(), held.id, held.orderKey);
+        }
+    }
+
     /** A message that was not delivered is worth a line: what became of it, and how its destination stood. */
     private void ended(final Open open, final String how) {
         final long nowUs = clock.nowUs();
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -303,6 +303,31 @@
         rig.await("the second of the key", () -> idsAt(rig.first).contains("m2"));
     }
 
+    @Test
+    void aKeyWaitsForTheAnswerToTheNoticeOfTheMessageBeforeAlsoInTheNextProcess()
+            throws IOException, InterruptedException {
+        rig.noticeStatus = 503;
+        rig.first.script((request, connection) -> {
+            if (request.header("X-Request-ID").equals("m1")) {
+                connection.reset();
+            } else {
+                connection.answer(200, "");
+            }
+        });
+        rig.start();
+        assertEquals(202, rig.send(Rig.inTurn("m1", "team-1")).status());
+        rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
+        assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
+        assertEquals(202, rig.send(Rig.inTurn("o1", "team-2")).status());
+        rig.await("the other key's call", () -> idsAt(rig.first).contains("o1"));
+        rig.killAndRestart();
+        assertEquals(202, rig.send(Rig.inTurn("o2", "team-3")).status());
+        rig.await("another key's call", () -> idsAt(rig.first).contains("o2"));
+        assertFalse(idsAt(rig.first).contains("m2"), "the message before it is not over");
+        rig.noticeStatus = 204;
+        rig.await("the next of the key", () -> idsAt(rig.first).contains("m2"));
+    }
+
     @Test
     void aMessageThatMustKeepAnOrderAndTellsNoKeyIsNotTaken() throws IOException {
         rig.start();
