Take a 200 in the first line as true when the rest of the answer cannot be read

Evidence: a line for each answer that cannot be read (kept) shows what they are: most stand behind a first line with 200 and then hold two Content-Lengths, a bad chunk size or a header over 8 KiB.

Mend: the head is noted first; broken() then knows the 200, for a call with one message. An unreadable first line, or another status, stays a failure that may have run. The log names the call and the kind of fault, none of the bytes.

Tests: aDeliveredMessageStaysDeliveredIfTheRestOfItsAnswerCannotBeRead, seen to fail without the change, and anAnswerWhoseFirstLineCannotBeReadIsAFailureThatMayHaveRun.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -334,15 +334,23 @@
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (call == null || part.decoderResult().isFailure()) {
-                // Bytes that answer nothing, or nothing that can be read: this connection cannot be trusted.
+            if (call == null) {
+                // Bytes that answer nothing: this connection cannot be trusted.
                 broken();
                 return;
             }
             if (part instanceof HttpResponse response) {
+                // Also where the rest cannot be read: a first line that says 200 is true.
                 head = response;
                 keep = HttpUtil.isKeepAlive(response);
             }
+            if (part.decoderResult().isFailure()) {
+                Log.info("an answer of " + call.pool.address + " to " + call.parcels.get(0).open().held.id
+                        + " cannot be read" + (head == null ? "" : " behind " + head.status().code()) + ": "
+                        + part.decoderResult().cause().getClass().getSimpleName());
+                broken();
+                return;
+            }
             if (part instanceof HttpContent content) {
                 if (body.size() + content.content().readableBytes() > MOST_BODY_BYTES) {
                     broken();
@@ -388,7 +396,7 @@
             }
         }
 
-        /** The connection has ended, or is of no more use. */
+        /** The connection has ended, or is of no more use. One message with a 200 ahead of the break is delivered. */
         private void broken() {
             unpool();
             context.close();
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -220,6 +220,41 @@
         assertEquals(2, rig.first.requests.size());
     }
 
+    @Test
+    void aDeliveredMessageStaysDeliveredIfTheRestOfItsAnswerCannotBeRead() throws IOException {
+        final List<String> rests = List.of("what is this\u0000\r\n\r\n", "Content-Length: 5\r\nContent-Length: 7\r\n\r\n",
+                "Content-Length: many\r\n\r\n", "X-Long: " + "x".repeat(20_000) + "\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+        rig.first.script((request, connection) -> {
+            final String id = request.header("X-Request-ID");
+            if (id.startsWith("last")) {
+                connection.answer(200, "");
+            } else {
+                connection.write("HTTP/1.1 200 OK\r\n" + rests.get(Integer.parseInt(id.substring(1))));
+                connection.reset();
+            }
+        });
+        rig.start();
+        for (int index = 0; index < rests.size(); index++) {
+            final int calls = index + 1;
+            assertEquals(202, rig.handIn("m" + index, "once").status());
+            rig.await("call " + calls, () -> rig.first.requests.size() == calls);
+        }
+        assertEquals(202, rig.handIn("last", "once").status());
+        rig.await("the last", () -> idsAt(rig.first).contains("last"));
+        assertEquals(rests.size() + 1, rig.first.requests.size(), "none goes again");
+        assertTrue(rig.notices.isEmpty(), "none has failed: " + rig.notices);
+    }
+
+    @Test
+    void anAnswerWhoseFirstLineCannotBeReadIsAFailureThatMayHaveRun() throws IOException {
+        rig.first.script((request, connection) -> connection.write("HTTP/1.1 two hundred\r\n\r\n"));
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
+        assertEquals(1, rig.first.requests.size());
+    }
+
     @Test
     void connectionsAreUsedAgain() throws IOException {
         rig.start();
