Never distrust connections that were idle for less than an eighth of the idle close

Evidence: the 5 s lines show some 40 connections opened at first, then, from the window with the first RESET or TIMED_OUT on, one for nearly every call, for good. Control.judge() halves the idle time trusted from the call that failed, and a busy endpoint's connection is idle for milliseconds: trust fell to next to nothing, grew 2% a second, and checkIdle() closed everything before each use. Ruled out: endpoints that close (no 'Connection: close' in answers, few idle ends) and the descriptor share (35 of 153 used).

Mend: trust never falls below an eighth of the idle close: a connection used a moment ago did not die of idleness. A longer idleness is doubted as before.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -110,6 +110,8 @@
     private static final double KEY_MARGIN = 0.05;
     /** Growth a second of the idle time that connections are trusted to bear: a minute trebles it. */
     private static final double TRUST_GROWTH = 1.02;
+    /** Share of the idle close that is trusted whatever fails: so short an idleness kills no connection. */
+    private static final double TRUST_LEAST = 0.125;
     /** Couriers that each meet all destinations often, and may all keep idle connections. A default. */
     private static final int FEW_COURIERS = 6;
     /** Calls' time within which a connection waits for its next use: a few for each call in flight. */
@@ -595,7 +597,8 @@
                     lane.stretch = STRETCH;
                 }
                 if (first && call.idleUs > 0 && !call.calledOff && outcome.result() != Result.NO_CONNECTION) {
-                    trustUs = Math.min(trustUs, call.idleUs / 2);
+                    final double leastUs = TRUST_LEAST * settings.limits().idleCloseUs();
+                    trustUs = Math.min(trustUs, Math.max(leastUs, call.idleUs / 2.0));
                 }
                 node.badRun[kind]++;
                 if (node.lastServedUs < call.sentUs) {
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -303,6 +303,25 @@
         assertTrue(scene.closed.size() >= 2, "closed: " + scene.closed);
     }
 
+    /** Days on fukuoka-main: one slow answer over a connection idle for a moment cost a handshake a call ever after. */
+    @Test
+    void oneFailureOverAConnectionJustUsedDoesNotMakeAllOthersSuspect() {
+        scene.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        scene.take("warm", SAFE);
+        scene.end("warm", Result.DELIVERED);
+        scene.pass(20 * MS);
+        scene.take("lost", SAFE);
+        scene.end("lost", Result.RESET);
+        scene.pass(2 * SECOND);
+        outstanding().forEach(id -> scene.end(id, Result.DELIVERED));
+        for (int round = 0; round < 5; round++) {
+            scene.pass(500 * MS);
+            scene.take("next" + round, SAFE);
+            scene.end("next" + round, Result.DELIVERED);
+        }
+        assertEquals(List.of(), scene.closed, "half a second of idleness kills no connection");
+    }
+
     /** Untouched scores at size: idle connections of fifty couriers filled endpoints that take six to sixteen. */
     @Test
     void manyCouriersDoNotKeepIdleConnections() {
