Let messages that may not be repeated share a call, as the partner's kind allows

Evidence: of some 1700 bad ends in the log 1202 are for destination 7, a pub chain that the hot key strikes: 160 to 216 messages wait, slots are free, the partner takes ten messages a call, yet 13 to 20 messages a second leave. Control.send() let no award share a call, neither ahead nor behind, so each spent a whole call of the partner's limit. Ruled out: slots (0 to 7 of 7 used alike), the waits (most lines have none), the window alone (raising it does not raise the limit).

Mend: every message that may go to the endpoint shares the call, up to the kind's messages per call. Its risk is what it was: each message's own state decides, and the first of a key alone is ever in turn.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -347,7 +347,7 @@
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
             if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
-                    || node != null && (!zoneAllows(job, node) || job.kind.effect() == Effect.UNSAFE)) {
+                    || node != null && !zoneAllows(job, node)) {
                 continue;
             }
             final double urgency = urgency(lane, job, lineUs);
@@ -444,7 +444,7 @@
             lane.nextTrialUs = trialUs(lane);
         }
         Job job = first;
-        final boolean alone = lane.phase != Phase.WELL || first.kind.effect() == Effect.UNSAFE;
+        final boolean alone = lane.phase != Phase.WELL;
         while (job != null) {
             call.messages++;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -303,6 +303,21 @@
         assertTrue(scene.closed.size() >= 2, "closed: " + scene.closed);
     }
 
+    /** Day 2 of fukuoka-main: a pub chain of ten messages a call was sent awards one by one, 200 waiting behind. */
+    @Test
+    void messagesThatMayNotBeRepeatedShareACallToo() {
+        final Scene shared = new Scene(Scene.settings(16, 5, false, false));
+        shared.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        final List<String> ids = List.of("a", "b", "c", "d", "e", "f");
+        ids.forEach(id -> shared.take(id, UNSAFE));
+        final List<String> out = ids.stream().filter(id -> shared.count(id) > 0).toList();
+        final List<String> waiting = ids.stream().filter(id -> shared.count(id) == 0).toList();
+        assertTrue(waiting.size() >= 2, "the window holds some back: " + waiting);
+        shared.pass(100 * MS);
+        shared.end(out.get(0), Result.DELIVERED);
+        waiting.forEach(id -> assertEquals(1, shared.count(id), "all that wait go with the next call: " + id));
+    }
+
     /** Days on fukuoka-main: one slow answer over a connection idle for a moment cost a handshake a call ever after. */
     @Test
     void oneFailureOverAConnectionJustUsedDoesNotMakeAllOthersSuspect() {
