Read the answer to a call of several as such when some of them have expired

Looking for the same fault as in unreadable answers: Reader.finish() and broken() asked how many messages are still in the call, but one whose time is up leaves it. A call of two with one expired then took any 200 as the other's delivery, whatever state the body gave it: a deferred or failed message counted as delivered. The call now remembers that it was sent as several.

Test: theAnswerToACallOfSeveralIsReadAsSuchWhenTheTimeOfSomeIsUp, seen to fail without the change.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -130,6 +130,8 @@
         private final long sentUs;
         private final long deadlineUs;
         private final List<Host.Parcel> parcels;
+        /** Sent as several: so is its answer, also when the time of some is up before it comes. */
+        private final boolean many;
         private Channel channel;
         private boolean started;
         private boolean written;
@@ -138,6 +140,7 @@
             this.pool = pool;
             this.endpoint = endpoint;
             this.parcels = new ArrayList<>(parcels);
+            this.many = parcels.size() > 1;
             this.sentUs = sentUs;
             this.deadlineUs = sentUs + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
         }
@@ -146,6 +149,10 @@
             return endpoint;
         }
 
+        private List<String> ids() {
+            return parcels.stream().map(parcel -> parcel.open().held.id).toList();
+        }
+
         long sentUs() {
             return sentUs;
         }
@@ -345,8 +352,7 @@
                 keep = HttpUtil.isKeepAlive(response);
             }
             if (part.decoderResult().isFailure()) {
-                Log.info("an answer of " + call.pool.address + " to " + call.parcels.get(0).open().held.id
-                        + " cannot be read" + (head == null ? "" : " behind " + head.status().code()) + ": "
+                Log.info("an answer of " + call.pool.address + " to " + call.ids() + " cannot be read" + (head == null ? "" : " behind " + head.status().code()) + ": "
                         + part.decoderResult().cause().getClass().getSimpleName());
                 broken();
                 return;
@@ -389,7 +395,7 @@
                 holdBack(done.pool);
             }
             final Answer all = answer(head, waitUs);
-            if (done.parcels.size() > 1 && head.status().code() == OK) {
+            if (done.many && head.status().code() == OK) {
                 tellEach(done, all);
             } else {
                 tell(done, all);
@@ -405,7 +411,7 @@
             if (cut == null || !calls.remove(cut)) {
                 return;
             }
-            final boolean delivered = head != null && head.status().code() == OK && cut.parcels.size() == 1;
+            final boolean delivered = head != null && head.status().code() == OK && !cut.many;
             if (delivered) {
                 tell(cut, answer(head, 0));
             } else {
@@ -452,7 +458,7 @@
     // ---------------------------------------------------------------- requests and answers
 
     private FullHttpRequest request(final Call call) {
-        final boolean many = call.parcels.size() > 1;
+        final boolean many = call.many;
         final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body;
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                 many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -379,6 +379,23 @@
                 && line.contains("1 attempts") && line.contains("last RESET")));
     }
 
+    @Test
+    void theAnswerToACallOfSeveralIsReadAsSuchWhenTheTimeOfSomeIsUp() throws IOException {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        assertEquals(202, rig.handIn("gate1", "once").status());
+        assertEquals(202, rig.handIn("gate2", "once").status());
+        rig.await("a full window", () -> rig.first.requests.size() == 2);
+        assertEquals(202, rig.send(Rig.message("short", "once").replace("20000", "3000")).status());
+        assertEquals(202, rig.handIn("long", "once").status());
+        rig.first.requests.get(0).connection().answer(200, "");
+        rig.await("the call of several", () -> rig.first.requests.size() == 3);
+        rig.await("the first one's end", () -> rig.noticed("short", "undeliverable"));
+        rig.first.requests.get(2).connection().answer(200, "[{\"id\":\"short\",\"state\":\"accepted\"},"
+                + "{\"id\":\"long\",\"state\":\"fault\"}]");
+        rig.await("the other's end by its own state", () -> rig.noticed("long", "undeliverable"));
+    }
+
     // ---------------------------------------------------------------- the list
 
     @Test
