Give up peers with no whole request in 2.2 s, and take only paths of the exact form

Evidence: a temporary log of connections shows what comes besides messages: peers that send nothing, half a head or half a body, classes that do not exist, paths with a query or a part too many, and peers that ask /up and then hold on for 6 s. Intake looked only at requests whose head was decoded, after 10 s, and never at a silent peer or half a head; it cut a query off and took the message on.

Mend: a request is due whole 2.2 s after the connection or its first byte: 408 and a close, or a plain close where nothing was begun. Who only asks /up is closed too when idle so long. /class or /class/key, nothing else, no header of ours twice, a Host, one length. After a 4xx the connection is closed.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -18,12 +19,15 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -39,6 +43,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /**
  * Where clients hand messages in. A message that is taken is answered in the pass that read it; whatever cannot be
@@ -51,14 +56,23 @@
     private static final int FAILED = 500;
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int MOST_ID_CHARS = 128;
+    /** A class or a key as a part of a path. */
+    private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
     private static final int MOST_QUEUED = 16;
     private static final int BACKLOG = 1024;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
-    /** How long a request may take to come in whole, and what is left of a refused one is read away. */
-    private static final long REQUEST_US = 10_000_000;
-    private static final long LINGER_MS = 1000;
-    private static final long SWEEP_MS = 500;
+    /**
+     * How long a request may take to come in whole, the first one from the connection's start on, since a peer that
+     * sends nothing is owed an end too, within 3 s; and how long what is left of a refused one is read away.
+     */
+    private static final long REQUEST_US = 2_200_000;
+    private static final long LINGER_MS = 500;
+    private static final long SWEEP_MS = 200;
+    private static final long NEVER = Long.MAX_VALUE;
+    /** What each message says once; one that says it twice could be meant either way. */
+    private static final List<String> OWN_HEADERS = List.of("Host", "X-Request-ID", "X-Priority-Class",
+            "X-Timeout-Ms", "X-Consignee");
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
 
@@ -85,8 +99,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpServerExpectContinueHandler(),
-                                new Session());
+                        final Session session = new Session();
+                        channel.pipeline().addLast(new Arrivals(session), new StrictDecoder(),
+                                new HttpResponseEncoder(), new HttpServerExpectContinueHandler(), session);
                     }
                 }).bind(config.listen());
         listener = bound.channel();
@@ -113,8 +128,8 @@
     private void sweep() {
         final long beforeUs = clock.nowUs() - REQUEST_US;
         for (final Session session : List.copyOf(sessions)) {
-            if (session.reading && session.sinceUs <= beforeUs) {
-                session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            if (session.dueSinceUs <= beforeUs) {
+                session.giveUp();
             }
         }
     }
@@ -127,6 +142,29 @@
         }
     }
 
+    /** Refuses a request with two lengths, which could be read as another one by whoever comes next. */
+    private static final class StrictDecoder extends HttpRequestDecoder {
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
+            throw new IllegalArgumentException("both a length and chunks");
+        }
+    }
+
+    /** Sees the first bytes of a request, long before the decoder has a whole head to tell of. */
+    private static final class Arrivals extends ChannelInboundHandlerAdapter {
+        private final Session session;
+
+        Arrivals(final Session session) {
+            this.session = session;
+        }
+
+        @Override
+        public void channelRead(final ChannelHandlerContext ctx, final Object bytes) {
+            session.arrived();
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
     /** A whole request that waits for its turn on its connection. */
     private record Request(HttpRequest head, byte[] body) { }
 
@@ -142,6 +180,25 @@
         /** A rejected request's rest is read away, and nothing further is served. */
         private boolean closing;
         private long sinceUs = clock.nowUs();
+        /** Since when a request is due whole: from the start, and from the first bytes of each further one. */
+        private long dueSinceUs = clock.nowUs();
+
+        /** Some bytes of a request that is not whole yet have come. */
+        private boolean begun;
+
+        private void arrived() {
+            begun = true;
+            dueSinceUs = dueSinceUs == NEVER ? clock.nowUs() : dueSinceUs;
+        }
+
+        /** Where nothing is asked nothing is answered: a late answer would be taken for the next request's. */
+        private void giveUp() {
+            if (!begun) {
+                context.close();
+            } else {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        }
 
         private boolean isIdle() {
             return !reading && current == null && queue.isEmpty() && !closing;
@@ -186,6 +243,7 @@
                 body.reset();
                 reading = true;
                 sinceUs = clock.nowUs();
+                dueSinceUs = Math.min(dueSinceUs, sinceUs);
                 if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
@@ -203,6 +261,8 @@
                 }
                 if (part instanceof LastHttpContent) {
                     reading = false;
+                    begun = false;
+                    dueSinceUs = NEVER;
                     queue.add(new Request(head, body.toByteArray()));
                     next();
                 }
@@ -220,40 +280,39 @@
         }
 
         private void serve(final Request request) {
-            final String uri = request.head().uri();
-            final int query = uri.indexOf('?');
-            final String path = query < 0 ? uri : uri.substring(0, query);
+            final String path = request.head().uri();
             if (path.equals("/up")) {
                 if (!request.head().method().equals(HttpMethod.GET)) {
                     answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
                 } else {
                     answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 }
+                // Who only asks whether we are up may go on to hand in a message, but not keep a connection idle.
+                dueSinceUs = Math.min(dueSinceUs, clock.nowUs());
                 return;
             }
-            final String[] parts = path.substring(Math.min(path.length(), 1)).split("/", 2);
-            final Courier.MessageClass kind = host.kind(parts[0]);
-            if (kind == null) {
+            // Either "/class", or "/class/key" where the class keeps an order, and no more: anything else is no message.
+            final String[] parts = path.split("/", -1);
+            final Courier.MessageClass kind = parts.length > 1 && parts[0].isEmpty() ? host.kind(parts[1]) : null;
+            if (kind == null || parts.length != (kind.inTurn() ? 3 : 2) || !KEY.matcher(parts[parts.length - 1]).matches()) {
                 answer(HttpResponseStatus.NOT_FOUND, 0);
             } else if (!request.head().method().equals(HttpMethod.POST)) {
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
             } else {
-                handIn(request, kind, parts.length < 2 ? "" : parts[1].substring(parts[1].lastIndexOf('/') + 1));
+                handIn(request, kind, kind.inTurn() ? parts[2] : null);
             }
         }
 
-        /** Takes a message; in a class that keeps its order, the last part of the path behind the class is its key. */
-        private void handIn(final Request request, final Courier.MessageClass kind, final String last) {
+        private void handIn(final Request request, final Courier.MessageClass kind, final String orderKey) {
             final HttpHeaders headers = request.head().headers();
             final String id = headers.get("X-Request-ID", "");
             final long timeoutMs = whole(headers.get("X-Timeout-Ms"));
             final long destination = destination(headers.get("X-Consignee"));
             final String key = headers.get("Idempotency-Key");
-            final String orderKey = kind.inTurn() ? last : null;
             final boolean keyed = kind.effect() == Courier.Effect.KEYED;
-            if (id.isEmpty() || id.length() > MOST_ID_CHARS || timeoutMs < 0 || destination < 0
-                    || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())
-                    || kind.inTurn() && (last.isEmpty() || last.length() > MOST_ID_CHARS)) {
+            if (OWN_HEADERS.stream().anyMatch(name -> headers.getAll(name).size() != 1) || id.isEmpty() || id.length() > MOST_ID_CHARS
+                    || timeoutMs < 0 || destination < 0
+                    || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
@@ -288,7 +347,9 @@
         }
 
         private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
-            final boolean keep = HttpUtil.isKeepAlive(current.head()) && !draining;
+            // Whoever does not speak as agreed is not kept, or its connections would fill the descriptors.
+            final boolean strange = status.codeClass() == HttpStatusClass.CLIENT_ERROR && status.code() != TOO_MANY;
+            final boolean keep = HttpUtil.isKeepAlive(current.head()) && !draining && !strange;
             current = null;
             currentId = null;
             final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
@@ -313,6 +374,7 @@
         private void reject(final HttpResponseStatus status) {
             closing = true;
             reading = false;
+            dueSinceUs = NEVER;
             final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
             context.writeAndFlush(response).addListener(written -> {
