Pace a lane's calls at the limit that its answers report

Evidence: the log shows bursts far above the limit told, then a refusal with a wait of a second or more that binds the whole partner. openAtUs() held the exact limit only where the list's weights are nominal; here they are rough, but answers report the limit, and judge() already notes it as told. Now a reported limit paces too.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -318,12 +318,12 @@
         return best;
     }
 
-    /** When a lane's waits and guards let a call go; never, while its window is full. */
+    /** When a lane's waits, guards and exact limit let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
         if (lane.calls.size() >= cap(lane)) {
             return NEVER;
         }
-        final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
+        final boolean exact = (settings.weights() == Weights.NOMINAL || lane.reported) && lane.told > 0;
         final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
@@ -553,6 +553,7 @@
         if (outcome.allowance() != null) {
             lane.allowance = outcome.allowance();
             lane.told = lane.allowance.callsPerSecond();
+            lane.reported = true;
         }
         final int kind = job.message.messageClass();
         final boolean first = lane.troubleFromUs == NEVER;
@@ -924,6 +925,8 @@
         /** The limit told (0: none), and the sends allowed now, a second. */
         private double told, spacing = Double.POSITIVE_INFINITY;
         private boolean slow;
+        /** The limit told came with an answer, and is exact where the list's may be rough. */
+        private boolean reported;
         private Phase phase = Phase.WELL;
         private double badRun, failShare, rampSpanUs;
         /** Since when nothing was served there; never, while all is well. */
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -303,6 +303,23 @@
         assertTrue(scene.closed.size() >= 2, "closed: " + scene.closed);
     }
 
+    /** Days on fukuoka-main: bursts above the limit that answers report were refused, and the waits told cost more. */
+    @Test
+    void callsArePacedAtTheLimitThatAnswersReport() {
+        scene.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        scene.take("first", SAFE);
+        scene.pass(10 * MS);
+        scene.control.onOutcome(scene.nowUs, new Courier.Outcome("first", Result.DELIVERED, true, 1, 10 * MS, 0,
+                new Courier.Allowance(0.9, 4)));
+        scene.pass(SECOND);
+        List.of("a", "b", "c").forEach(id -> scene.take(id, SAFE));
+        assertEquals(1, scene.count("a") + scene.count("b") + scene.count("c"), "one at once");
+        scene.pass(240 * MS);
+        assertEquals(1, scene.count("a") + scene.count("b") + scene.count("c"), "four a second are a quarter apart");
+        scene.pass(20 * MS);
+        assertEquals(2, scene.count("a") + scene.count("b") + scene.count("c"));
+    }
+
     /** Day 2 of fukuoka-main: a pub chain of ten messages a call was sent awards one by one, 200 waiting behind. */
     @Test
     void messagesThatMayNotBeRepeatedShareACallToo() {
