Count what a shared call tells of a partner's health once, not for each message

Evidence: at 13 s its lane goes from WELL to OUT with one refused call. judge() runs for each message of a call, a refusal weighs 0.5 in the run of bad outcomes, and an outage is a weight of 3: a single refused call of six or more is an outage. Errors and time-outs were multiplied alike. Ruled out: a crash (no failed connection there) and the weights themselves, which are right for calls of one.

Mend: the first outcome of a kind in a call speaks for the lane's health, pause and endpoint; the step's share still counts every attempt, as the design has it.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -556,6 +557,8 @@
             lane.reported = true;
         }
         final int kind = job.message.messageClass();
+        // The messages of a shared call mostly fare alike: what they tell of the lane's health is told once.
+        final boolean news = call.seen.add(outcome.result());
         final boolean first = lane.troubleFromUs == NEVER;
         lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
         // A wait may stand in any answer, also one that delivers some of a call's messages.
@@ -581,6 +584,9 @@
             case REFUSED -> {
                 lane.bad++;
                 lane.refused++;
+                if (!news) {
+                    return;
+                }
                 final long fromUs = Math.max(nowUs, lane.waitUntilUs);
                 final long gapUs = patienceUs(lane, fromUs);
                 final boolean told = outcome.waitUs() > 0;
@@ -589,11 +595,17 @@
             }
             case ERROR -> {
                 lane.errors++;
+                if (!news) {
+                    return;
+                }
                 lane.failShare += FAIL_WEIGHT * (1 - lane.failShare);
                 suspect(lane, ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
                 lane.bad++;
+                if (!news) {
+                    return;
+                }
                 if (outcome.result() == Result.TIMED_OUT || outcome.result() == Result.CANCELLED) {
                     lane.stretch = STRETCH;
                 }
@@ -964,6 +976,7 @@
         private int messages;
         private long sentUs, expectedUs, idleUs;
         private boolean calledOff;
+        private final Set<Result> seen = EnumSet.noneOf(Result.class);
 
         private long overdueUs() {
             return sentUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -320,6 +320,24 @@
         assertEquals(2, scene.count("a") + scene.count("b") + scene.count("c"));
     }
 
+    /** Day 2 of fukuoka-main: one refused call of ten messages made a crowded pub chain count as out for 13 s. */
+    @Test
+    void aRefusedCallOfSeveralIsOneRefusalAndNoOutage() {
+        final Scene shared = new Scene(Scene.settings(16, 5, false, false));
+        shared.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        final List<String> ids = List.of("a", "b", "c", "d", "e", "f", "g");
+        ids.forEach(id -> shared.take(id, SAFE));
+        shared.pass(100 * MS);
+        shared.end("a", Result.DELIVERED);
+        shared.end("b", Result.DELIVERED);
+        final List<String> together = ids.subList(2, 7);
+        together.forEach(id -> assertEquals(1, shared.count(id), id));
+        together.forEach(id -> shared.tell(id, Result.REFUSED, 0));
+        shared.control.decide(shared.nowUs);
+        shared.pass(3 * SECOND);
+        together.forEach(id -> assertEquals(2, shared.count(id), "all go again together, not one as a trial: " + id));
+    }
+
     /** Day 2 of fukuoka-main: a pub chain of ten messages a call was sent awards one by one, 200 waiting behind. */
     @Test
     void messagesThatMayNotBeRepeatedShareACallToo() {
