Give up calls not written yet when their endpoint drains or is gone

Looking for the fault of unheeded waits elsewhere: a call to an endpoint that takes connections up slowly may be written up to a second after the list said that the endpoint drains, and the rule allows 250 ms from then. Endpoints gave such calls up only for a told wait; now for a drain or a removal as well, and the module sends the message elsewhere at once.

Test: aCallThatStillConnectsToAnEndpointThatDrainsGoesElsewhere, seen to fail.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -43,6 +43,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Calls to endpoints, with one message or several, over connections that are kept and carry one call at a time. It
@@ -165,6 +166,9 @@
             pool.address = address;
             closeIdle(entry.id());
         }
+        if (entry.condition() != Courier.Condition.LISTED) {
+            holdBack(call -> call.pool == pool);
+        }
     }
 
     /** The list names an endpoint no more: its idle connections serve nothing. */
@@ -173,6 +177,7 @@
         final Pool pool = pools.remove(endpoint);
         if (pool != null) {
             pool.removed = true;
+            holdBack(call -> call.pool == pool);
         }
     }
 
@@ -290,11 +295,10 @@
         call.parcels.forEach(parcel -> host.outcome(parcel, call, answer));
     }
 
-    /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
-    private void holdBack(final Pool told) {
+    /** Gives up calls that are on their way and not written yet: a wait was told, or their endpoint drains or is gone. */
+    private void holdBack(final Predicate<Call> bound) {
         for (final Call call : List.copyOf(calls)) {
-            final boolean bound = told.apart ? call.pool == told : call.pool.destination == told.destination;
-            if (bound && !call.written) {
+            if (!call.written && bound.test(call)) {
                 abandon(call, Result.NOT_SENT);
             }
         }
@@ -392,7 +396,8 @@
             }
             final long waitUs = waitUs(head);
             if (waitUs > 0) {
-                holdBack(done.pool);
+                final Pool told = done.pool;
+                holdBack(other -> told.apart ? other.pool == told : other.pool.destination == told.destination);
             }
             final Answer all = answer(head, waitUs);
             if (done.many && head.status().code() == OK) {
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -419,6 +422,34 @@
         assertEquals(before, rig.first.requests.size());
     }
 
+    @Test
+    void aCallThatStillConnectsToAnEndpointThatDrainsGoesElsewhere() throws IOException {
+        rig.connectTimeoutUs = 60_000_000;
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            final String address = "127.0.0.1:" + full.getLocalPort();
+            final List<Socket> fillers = new ArrayList<>();
+            // A backlog that is full takes no connection up, and tells nobody.
+            for (int count = 0; count < 4; count++) {
+                final Socket filler = new Socket();
+                fillers.add(filler);
+                try {
+                    filler.connect(full.getLocalSocketAddress(), 200);
+                } catch (final SocketTimeoutException e) {
+                    break;
+                }
+            }
+            rig.hosts = Rig.host("e1", address, "Ready");
+            rig.start();
+            rig.await("the watch", () -> !rig.watches.isEmpty());
+            assertEquals(202, rig.handIn("m1", "once").status());
+            rig.change(42, Rig.host("e1", address, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
+            rig.await("a call elsewhere, long before the connection gives up", () -> idsAt(rig.second).contains("m1"));
+            for (final Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
     @Test
     void aBrokenWatchIsAskedForAgainFromWhereItStood() throws IOException {
         rig.start();
