Let the tests' fake endpoint answer calls of several messages as they ask for

onSigtermItServesOnForAWhileAndEndsBeforeTheKill went red with the shared calls: what the next process resumes goes out in one call, which the fake answered by a 200 with no states, rightly read as an error. The fake now answers such a call with a state for each message, and the tests read the ids in it. No assertion changes.

--- a/src/test/java/driftchute/node/FakeServer.java
+++ b/src/test/java/driftchute/node/FakeServer.java
@@ -13,15 +13,26 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** A small HTTP server for tests, on a port of the system's choice: it records requests and answers by a script. */
 final class FakeServer implements AutoCloseable {
+    private static final Pattern ID = Pattern.compile("\"id\":\"([^\"]*)\"");
+
     /** One request that has come in whole. */
     record Request(String line, Map<String, String> headers, byte[] body, Connection connection, long atNs) {
         String text() {
             return new String(body, StandardCharsets.UTF_8);
         }
 
+        /** The messages in a call, of one or of several. */
+        List<String> ids() {
+            return line.contains("/inbox/bulk") ? ID.matcher(text()).results().map(found -> found.group(1)).toList()
+                    : Stream.ofNullable(header("X-Request-ID")).toList();
+        }
+
         String header(final String name) {
             return headers.get(name.toLowerCase(Locale.ROOT));
         }
@@ -127,6 +138,13 @@
             write(head + "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
         }
 
+        /** Takes all messages of a call, as its form asks for. */
+        void accept(final Request call) {
+            answer(200, call.line().contains("/inbox/bulk") ? call.ids().stream()
+                    .map(id -> "{\"id\":\"" + id + "\",\"state\":\"accepted\"}")
+                    .collect(Collectors.joining(",", "[", "]")) : "");
+        }
+
         void write(final String text) {
             try {
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -40,7 +40,7 @@
     }
 
     private static List<String> idsAt(final FakeServer server) {
-        return server.requests.stream().map(request -> request.header("X-Request-ID")).toList();
+        return server.requests.stream().flatMap(request -> request.ids().stream()).toList();
     }
 
     @Test
@@ -66,7 +66,7 @@
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
-        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.script((request, connection) -> connection.accept(request));
         rig.killAndRestart();
         rig.await("the second call", () -> rig.first.requests.size() == 2);
         assertEquals(List.of("m1", "m1"), idsAt(rig.first));
@@ -89,7 +89,7 @@
         rig.start();
         assertEquals(202, rig.handIn("m1", "keyed").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
-        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.script((request, connection) -> connection.accept(request));
         rig.killAndRestart();
         rig.await("the second call", () -> rig.first.requests.size() == 2);
         assertEquals("key-m1", rig.first.requests.get(1).header("Idempotency-Key"));
@@ -159,7 +159,7 @@
         final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - termNs);
         assertTrue(tookMs < STOP_LIMIT_MS, "took " + tookMs);
         idle.close();
-        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.script((request, connection) -> connection.accept(request));
         final int before = rig.first.requests.size();
         rig.start();
         rig.await("what was held goes on", () -> idsAt(rig.first).stream().skip(before)
@@ -217,7 +217,7 @@
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
-        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.script((request, connection) -> connection.accept(request));
         assertEquals(202, rig.handIn("m2", "safe").status());
         rig.await("the next", () -> idsAt(rig.first).contains("m2"));
         assertEquals(2, rig.first.requests.size());
@@ -336,7 +336,7 @@
         assertEquals(202, rig.send(Rig.inTurn("other", "team-2")).status());
         rig.await("the other key's call", () -> idsAt(rig.first).contains("other"));
         assertEquals(List.of("m1", "other"), idsAt(rig.first), "the second of a key waits for the first");
-        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.first.script((request, connection) -> connection.accept(request));
         rig.first.requests.get(0).connection().answer(200, "");
         rig.await("the second of the key", () -> idsAt(rig.first).contains("m2"));
     }
@@ -346,10 +346,10 @@
             throws IOException, InterruptedException {
         rig.noticeStatus = 503;
         rig.first.script((request, connection) -> {
-            if (request.header("X-Request-ID").equals("m1")) {
+            if (request.ids().contains("m1")) {
                 connection.reset();
             } else {
-                connection.answer(200, "");
+                connection.accept(request);
             }
         });
         rig.start();
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -34,8 +34,8 @@
     final List<String> notices = new CopyOnWriteArrayList<>();
     final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
     final FakeServer platform;
-    final FakeServer first = new FakeServer((request, connection) -> connection.answer(200, ""));
-    final FakeServer second = new FakeServer((request, connection) -> connection.answer(200, ""));
+    final FakeServer first = new FakeServer((request, connection) -> connection.accept(request));
+    final FakeServer second = new FakeServer((request, connection) -> connection.accept(request));
     final List<String> log = new CopyOnWriteArrayList<>();
     volatile int noticeStatus = 204;
     int maxOpen = 50;
