Give a message its end by a notice when an endpoint says that it is over

Evidence: outcomes NOT_SENT where nothing was refused or drained; the log then shows 410 two milliseconds after the send for messages with 5 to 12 s left. Host.outcome() forgot such a message with no end, and its key went on.

Mend: it is not sent again, and is ended as undeliverable.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -186,8 +186,12 @@
         counters.outcome(answer.result());
         final boolean delivered = answer.result() == Courier.Result.DELIVERED;
         if (!open.over) {
-            if (delivered || answer.over()) {
+            if (delivered) {
                 forget(open);
+            } else if (answer.over()) {
+                // If that is true the notice does no harm; if an endpoint errs, the message would have no end.
+                journal.settle(open.held, true);
+                end(open, new Held.Notice(true, 0));
             } else {
                 journal.settle(open.held, answer.result().neverRan());
             }
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -258,6 +258,15 @@
         assertEquals(1, rig.first.requests.size());
     }
 
+    @Test
+    void aMessageThatAnEndpointSaysIsOverHasItsEndAllTheSame() throws IOException {
+        rig.first.script((request, connection) -> connection.answer(410, ""));
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
+        assertEquals(1, rig.first.requests.size(), "it is not sent again");
+    }
+
     @Test
     void connectionsAreUsedAgain() throws IOException {
         rig.start();
@@ -324,7 +333,8 @@
                 && "off".equals(rig.first.requests.get(rig.first.requests.size() - 1).header("X-Request-ID")));
         assertEquals(1, bulks.size());
         assertTrue(bulks.get(0).text().contains("\"body\":\"aGVsbG8=\""), bulks.get(0).text());
-        assertEquals(1, rig.notices.size(), "of these only the one that may have run is owed a notice: " + rig.notices);
+        rig.await("an end for the one said to be over, which does no harm", () -> rig.noticed("old", "undeliverable"));
+        assertEquals(2, rig.notices.size(), "those and no others: " + rig.notices);
     }
 
     @Test
