Take a 200 as delivered when its body does not end within 200 ms

Mend: a call with one message whose first line says 200 waits 200 ms for the rest, then is told delivered and its connection closed; a call given up for another reason in between is told delivered as well.

Test: aDeliveredMessageStaysDeliveredIfTheBodyOfItsAnswerNeverEnds, seen to fail.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -58,6 +58,8 @@
     private static final double IDLE_SHARE = 0.8;
     /** Share of the descriptors for connections to endpoints; the rest is for clients and the process. */
     private static final double SOCKET_SHARE = 0.4;
+    /** How long the body of a 200, which means nothing, is waited for: the next of its key waits too. */
+    private static final long BODY_MS = 200;
     private static final int OK = 200;
     private static final int INFORMATIONAL = 200;
     private static final int GONE = 410;
@@ -136,6 +138,8 @@
         private Channel channel;
         private boolean started;
         private boolean written;
+        /** Its first line says 200, which is true whatever becomes of the rest. */
+        private boolean delivered;
 
         Call(final Pool pool, final long endpoint, final List<Host.Parcel> parcels, final long sentUs) {
             this.pool = pool;
@@ -275,8 +279,9 @@
         if (call.channel != null) {
             call.channel.close();
         }
-        final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
-        tell(call, new Answer(sure, false, 0, null));
+        final Result sure = call.delivered ? Result.DELIVERED
+                : call.written || result == Result.NOT_SENT ? result : neverWritten(result);
+        tell(call, new Answer(sure, call.delivered, 0, null));
     }
 
     /** What gave up a call that was never written whole cannot have run. */
@@ -354,6 +359,11 @@
                 // Also where the rest cannot be read: a first line that says 200 is true.
                 head = response;
                 keep = HttpUtil.isKeepAlive(response);
+                if (response.status().code() == OK && !call.many) {
+                    final Call sure = call;
+                    sure.delivered = true;
+                    loop.schedule(() -> abandon(sure, Result.DELIVERED), BODY_MS, TimeUnit.MILLISECONDS);
+                }
             }
             if (part.decoderResult().isFailure()) {
                 Log.info("an answer of " + call.pool.address + " to " + call.ids() + " cannot be read" + (head == null ? "" : " behind " + head.status().code()) + ": "
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -267,6 +267,16 @@
         assertEquals(1, rig.first.requests.size(), "it is not sent again");
     }
 
+    @Test
+    void aDeliveredMessageStaysDeliveredIfTheBodyOfItsAnswerNeverEnds() throws IOException {
+        rig.first.script((request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf"));
+        rig.start();
+        assertEquals(202, rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
+        assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
+        rig.await("the next of its key", () -> idsAt(rig.first).contains("m2"));
+        assertTrue(rig.notices.isEmpty(), "the first was delivered: " + rig.notices);
+    }
+
     @Test
     void connectionsAreUsedAgain() throws IOException {
         rig.start();
