Pace each courier at its own part of a reported limit

Refused calls use the limit up, so the fleet kept it used up. At fault: openAtUs, which paced each courier at the whole limit.

Now a courier has its even part of the reported limit, a little less when nothing is left of it, and more with the fourth power of the share that is left.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -74,6 +74,13 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
+    /** Even parts of a reported limit for one courier: with nothing left, and how many more with all left. */
+    private static final double PART_LEAST = 0.85;
+    private static final double PART_GROWTH = 6;
+    /** How sharply: near the middle little, so that they do not swing with news that is a second old. */
+    private static final double PART_POWER = 4;
+    /** Growth of a reported rest, a second, for a single courier: of many, others use it meanwhile. */
+    private static final double REFILL = 2;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -420,7 +427,7 @@
             return NEVER;
         }
         final boolean exact = (settings.weights() == Weights.NOMINAL || lane.reported) && lane.told > 0;
-        final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
+        final double rate = exact ? Math.min(part(lane), lane.spacing) : lane.spacing;
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
             case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
@@ -429,6 +436,16 @@
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
 
+    /**
+     * This courier's part of a told limit, a second: its even part, less a little, so that a limit that
+     * refused calls use up as well recovers; and more, the more of it was left or may be again by now.
+     */
+    private double part(final Lane lane) {
+        final double refilled = REFILL / settings.couriers() * (nowUs - lane.leftAtUs) / SECOND_US;
+        final double more = PART_GROWTH * Math.pow(Math.min(1, lane.left + refilled), PART_POWER);
+        return lane.told * Math.min(1, (PART_LEAST + more) / settings.couriers());
+    }
+
     /** Calls that a lane may have in flight now: its window, within its share of the slots. */
     private int cap(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
@@ -657,6 +674,8 @@
         if (outcome.allowance() != null) {
             lane.allowance = outcome.allowance();
             lane.told = lane.allowance.callsPerSecond();
+            lane.leftAtUs = nowUs;
+            lane.left = clamp(lane.allowance.shareLeft(), 0, 1);
             lane.reported = true;
         }
         final int kind = job.message.messageClass();
@@ -1055,6 +1074,9 @@
         private double rate, slowRatio = 1, pace = 1, stretch = 1;
         /** The limit told (0: none), and the sends allowed now, a second. */
         private double told, spacing = Double.POSITIVE_INFINITY;
+        /** The share of that limit that was left when last reported, and when. */
+        private double left = 1;
+        private long leftAtUs;
         private boolean slow;
         /** The limit told came with an answer, and is exact where the list's may be rough. */
         private boolean reported;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -12,6 +12,7 @@
 import driftchute.Courier.Update;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -320,6 +321,37 @@
         assertEquals(2, scene.count("a") + scene.count("b") + scene.count("c"));
     }
 
+    /** Days at size: every courier paced at the whole limit, and refused calls, which use it up too, kept it used up. */
+    @Test
+    void aFleetKeepsTogetherUnderALimitOfWhichNothingIsLeft() {
+        final long spent = callsOfFourteen(0, 1, 11);
+        assertTrue(spent <= 160, "over the limit: " + spent);
+        assertTrue(spent >= 0.7 * 160, "unused: " + spent);
+        assertTrue(callsOfFourteen(1, 0, 3) >= 2 * callsOfFourteen(0, 0, 3), "with all left, it is used");
+    }
+
+    /** Calls between two seconds of couriers with a line each, at a limit of 16 a second; so much is left of it. */
+    private static long callsOfFourteen(final double left, final int fromS, final int toS) {
+        long calls = 0;
+        for (int index = 0; index < 14; index++) {
+            final Scene one = new Scene(Scene.fleetOf(14), Scene.seed(index));
+            one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+            final long startUs = one.nowUs;
+            IntStream.range(0, 39).forEach(job -> one.take("m" + job, SAFE));
+            for (int tick = 0; tick < 100 * toS; tick++) {
+                one.pass(10 * MS);
+                for (final Scene.Sent send : List.copyOf(one.sent)) {
+                    if (one.ended(send.id()) == 0) {
+                        one.control.onOutcome(one.nowUs, one.outcome(send.id(), new Courier.Allowance(left, 16)));
+                        one.control.decide(one.nowUs);
+                    }
+                }
+            }
+            calls += one.sent.stream().filter(send -> send.atUs() > startUs + fromS * SECOND).count();
+        }
+        return calls;
+    }
+
     /** Day 2 of fukuoka-main: one refused call of ten messages made a crowded pub chain count as out for 13 s. */
     @Test
     void aRefusedCallOfSeveralIsOneRefusalAndNoOutage() {
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -131,6 +131,14 @@
                 nowUs - last.atUs(), waitUs, null));
     }
 
+    /** The last attempt of a message is delivered, with a report of the limit. */
+    Courier.Outcome outcome(final String id, final Courier.Allowance allowance) {
+        final Sent last = last(id);
+        outcomes.merge(id, 1, Integer::sum);
+        return new Courier.Outcome(id, Courier.Result.DELIVERED, true, last.endpoint(), nowUs - last.atUs(), 0,
+                allowance);
+    }
+
     /** Lets time pass, with the reminders that were asked for. */
     void pass(final long us) {
         final long until = nowUs + us;
