Keep connections whose next use is near, also in a large fleet

At fault: shareConnections, which closed each one after its call in any fleet of over six unless the next use fell within two calls' time.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -122,7 +122,8 @@
     private static final double TRUST_LEAST = 0.125;
     /** Couriers that each meet all destinations often, and may all keep idle connections. A default. */
     private static final int FEW_COURIERS = 6;
-    /** Calls' time within which a connection waits for its next use: a few for each call in flight. */
+    /** How long a connection may wait for its next use, us; and where there is no room, in calls' time. */
+    private static final double REUSE_US = 5 * SECOND_US;
     private static final double REUSE_CALLS = 2;
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
     private static final long ASK_LEAST_US = SECOND_US / 2;
@@ -594,11 +595,13 @@
 
     /**
      * An idle connection takes the place of another courier's: where they are many, it is closed unless its
-     * next use is near. Guards against refused connections at well endpoints; costs a handshake a call.
+     * next use is some seconds away at most; and where a well endpoint had no room for one of ours, unless it
+     * is near. Guards against refused connections at well endpoints, and against a handshake a call.
      */
     private void shareConnections(final Node node, final Call call) {
-        final double usesInReach = node.lane.rate * REUSE_CALLS * call.expectedUs / SECOND_US;
-        if (settings.couriers() > FEW_COURIERS && usesInReach < node.lane.nodes.size()) {
+        final double reachUs = nowUs < node.fullUntilUs ? REUSE_CALLS * call.expectedUs : REUSE_US;
+        if (settings.couriers() > FEW_COURIERS
+                && node.lane.rate * reachUs / SECOND_US < node.lane.nodes.size()) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
         }
@@ -735,6 +738,9 @@
                     final double leastUs = TRUST_LEAST * settings.limits().idleCloseUs();
                     trustUs = Math.min(trustUs, Math.max(leastUs, call.idleUs / 2.0));
                 }
+                if (first && outcome.result() == Result.NO_CONNECTION) {
+                    node.fullUntilUs = nowUs + settings.limits().idleCloseUs();
+                }
                 node.badRun[kind]++;
                 if (node.lastServedUs < call.sentUs) {
                     Arrays.fill(node.avoidUntilUs, nowUs + jitter(AVOID_US));
@@ -756,6 +762,7 @@
         final boolean out = lane.badRun + overdue(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
+            lane.nodes.forEach(node -> node.fullUntilUs = 0);
             lane.window = WINDOW_FLOOR;
             lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
             lane.nextTrialUs = trialUs(lane);
@@ -1131,6 +1138,8 @@
         /** Failures in a row of each class, and until when that class goes elsewhere. */
         private final int[] badRun;
         private final long[] avoidUntilUs;
+        /** Until when it is taken to have no room for idle connections. */
+        private long fullUntilUs;
         private long lastUseUs, lastSendUs, lastServedUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -438,6 +438,31 @@
         assertEquals(List.of(), scene.closed, "a small fleet keeps them");
     }
 
+    /** Days at size: fourteen couriers with a call a second each opened a connection for every one of them. */
+    @Test
+    void manyCouriersKeepConnectionsThatAreUsedAgainSoonWhileThereIsRoom() {
+        final Scene many = new Scene(Scene.fleetOf(14));
+        many.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        callEachSecond(many, "warm", 5);
+        many.closed.clear();
+        callEachSecond(many, "kept", 5);
+        assertEquals(List.of(), many.closed);
+        many.take("full", SAFE);
+        many.end("full", Result.NO_CONNECTION);
+        many.pass(2 * SECOND);
+        many.end("full", Result.DELIVERED);
+        assertEquals(List.of(1L), many.closed, "a well endpoint had no room");
+    }
+
+    private static void callEachSecond(final Scene scene, final String name, final int calls) {
+        for (int call = 0; call < calls; call++) {
+            scene.take(name + call, SAFE);
+            scene.pass(100 * MS);
+            scene.end(name + call, Result.DELIVERED);
+            scene.pass(900 * MS);
+        }
+    }
+
     /** Days of slow partners on port-louis-main: calls called off were read as dead idle connections. */
     @Test
     void aCallThatWeCalledOffDoesNotMakeIdleConnectionsSuspect() {
