After refusals, add to the rate served by the fleet's size, from its mean

At fault: step, which let every courier go on at half a call a second more than 1.2 times what it had served, and took a lucky second's count for a rate: 14 couriers together 16 calls a second and more. Now the addition is that of three couriers, shared by all, and the rate is the mean one.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -74,6 +74,8 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
+    /** Of so many couriers each may add that much; more of them share what these may add together. */
+    private static final double SPACING_COURIERS = 3;
     /** Even parts of a reported limit for one courier: with nothing left, and how many more with all left. */
     private static final double PART_LEAST = 0.85;
     private static final double PART_GROWTH = 6;
@@ -635,7 +637,8 @@
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
-        final double refusing = SPACING_LEAST + SPACING * Math.max(lane.served, lane.rate);
+        final double least = SPACING_LEAST * Math.min(1, SPACING_COURIERS / settings.couriers());
+        final double refusing = least + SPACING * lane.rate;
         lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
         lane.peak = lane.calls.size();
         lane.ratioSum = lane.refused = lane.served = lane.bad = lane.errors = 0;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -330,6 +330,38 @@
         assertTrue(callsOfFourteen(1, 0, 3) >= 2 * callsOfFourteen(0, 0, 3), "with all left, it is used");
     }
 
+    /** Days at size: half a call a second more for each courier crowded a partner that took less. */
+    @Test
+    void aFleetDoesNotCrowdAPartnerThatTakesLess() {
+        final List<Scene> fleet = IntStream.range(0, 14).mapToObj(index -> new Scene(Scene.fleetOf(14),
+                Scene.seed(index))).toList();
+        fleet.forEach(one -> one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a")));
+        double room = 0;
+        int served = 0;
+        int refused = 0;
+        for (int tick = 0; tick < 1600; tick++) {
+            room = Math.min(2, room + 0.07);
+            for (int index = 0; index < 14; index++) {
+                final Scene one = fleet.get(index);
+                if (tick % 100 == 7 * index) {
+                    one.take("m" + tick, SAFE);
+                }
+                one.pass(10 * MS);
+                for (final Scene.Sent send : List.copyOf(one.sent)) {
+                    if (one.ended(send.id()) < one.count(send.id())) {
+                        final boolean taken = room >= 1;
+                        room -= taken ? 1 : 0;
+                        one.end(send.id(), taken ? Result.DELIVERED : Result.REFUSED);
+                        served += taken ? 1 : 0;
+                        refused += taken ? 0 : 1;
+                    }
+                }
+            }
+        }
+        assertTrue(refused < 0.8 * served, refused + " refused, " + served + " served");
+        assertTrue(served > 0.7 * 16 * 7, "a partner that is left idle: " + served);
+    }
+
     /** Calls between two seconds of couriers with a line each, at a limit of 16 a second; so much is left of it. */
     private static long callsOfFourteen(final double left, final int fromS, final int toS) {
         long calls = 0;
