--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -83,6 +83,8 @@
     private static final double PART_POWER = 4;
     /** Growth of a reported rest, a second, for a single courier: of many, others use it meanwhile. */
     private static final double REFILL = 2;
+    /** Least share of the list's rough figure that a reported limit can be: lowered ones are about half. */
+    private static final double LEAST_LIMIT = 0.02;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -677,7 +679,7 @@
     /** Reads one outcome: service times, the step's inputs, waits, health of the endpoint and the lane. */
     private void judge(final Node node, final Call call, final Job job, final Outcome outcome) {
         final Lane lane = node.lane;
-        if (outcome.allowance() != null) {
+        if (outcome.allowance() != null && plausible(lane, outcome.allowance().callsPerSecond())) {
             lane.allowance = outcome.allowance();
             lane.told = lane.allowance.callsPerSecond();
             lane.leftAtUs = nowUs;
@@ -759,6 +761,11 @@
         }
     }
 
+    /** False for a limit far under the list's, or none where there was one: it would end or flood a lane. */
+    private static boolean plausible(final Lane lane, final double limit) {
+        return limit > 0 ? limit >= LEAST_LIMIT * lane.listed : !lane.reported || lane.told <= 0;
+    }
+
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
@@ -1005,7 +1012,12 @@
                 nodes.put(entry.id(), node);
             }
             node.condition = entry.condition();
-            node.lane.told = settings.weights() == Weights.NONE ? node.lane.told : entry.weight();
+            if (settings.weights() != Weights.NONE) {
+                node.lane.listed = entry.weight();
+                // What answers report is newer and nearer than the list's figure.
+                final boolean keep = node.lane.reported && node.lane.told > 0;
+                node.lane.told = keep ? node.lane.told : entry.weight();
+            }
         }
         // A route apart is never forgotten: listed again, it still has its wait and its outage.
         nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
@@ -1082,8 +1094,8 @@
         /** Slow averages: steps seen, served a second, step means, service time against other lanes. */
         private int steps, paceSamples;
         private double rate, slowRatio = 1, pace = 1, stretch = 1;
-        /** The limit told (0: none), and the sends allowed now, a second. */
-        private double told, spacing = Double.POSITIVE_INFINITY;
+        /** The limit told (0: none), the list's figure for it, and the sends allowed now, a second. */
+        private double told, listed, spacing = Double.POSITIVE_INFINITY;
         /** The share of that limit that was left when last reported, and when. */
         private double left = 1;
         private long leftAtUs;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -384,6 +384,25 @@
         return calls;
     }
 
+    /** The list says 1 a second; a limit of a millionth would keep the next call off for days. */
+    @Test
+    void aLimitThatCannotBeIsIgnored() {
+        final Scene one = new Scene(new Courier.Settings(14, "a", false, Courier.Weights.ROUGH,
+                Courier.Fade.LINEAR, Scene.settings().classes(), List.of(), Scene.settings().kinds(),
+                Scene.settings().guarantees(), Scene.settings().limits()));
+        one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        for (final double limit : List.of(1e-6, -4.0, 30.0, 0.0, Double.NaN)) {
+            one.take("m" + limit, SAFE);
+            one.pass(2 * SECOND);
+            assertEquals(1, one.count("m" + limit), "after another limit: " + limit);
+            one.control.onOutcome(one.nowUs, one.outcome("m" + limit, new Courier.Allowance(0.5, limit)));
+            one.control.decide(one.nowUs);
+        }
+        assertTrue(one.control.describe(DEST).contains("told 30.0"), one.control.describe(DEST));
+        one.list(Update.CHANGES, Scene.endpoint(1, DEST, "a"));
+        assertTrue(one.control.describe(DEST).contains("told 30.0"), "what answers report is nearer");
+    }
+
     /** Day 2 of fukuoka-main: one refused call of ten messages made a crowded pub chain count as out for 13 s. */
     @Test
     void aRefusedCallOfSeveralIsOneRefusalAndNoOutage() {
