--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -640,7 +640,7 @@
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
         }
         final double least = SPACING_LEAST * Math.min(1, SPACING_COURIERS / settings.couriers());
-        final double refusing = least + SPACING * lane.rate;
+        final double refusing = least + SPACING * Math.max(lane.served, lane.rate);
         lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
         lane.peak = lane.calls.size();
         lane.ratioSum = lane.refused = lane.served = lane.bad = lane.errors = 0;
