--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -83,6 +83,9 @@
     private static final double PART_POWER = 4;
     /** Growth of a reported rest, a second, for a single courier: of many, others use it meanwhile. */
     private static final double REFILL = 2;
+    /** With more of a limit left, spacing gives way by so many times a second: one of few would swing it. */
+    private static final double LEFT_HIGH = 0.8;
+    private static final double SPACING_GONE = 2;
     /** Least share of the list's rough figure that a reported limit can be: lowered ones are about half. */
     private static final double LEAST_LIMIT = 0.02;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
@@ -641,7 +644,8 @@
         }
         final double least = SPACING_LEAST * Math.min(1, SPACING_COURIERS / settings.couriers());
         final double refusing = least + SPACING * Math.max(lane.served, lane.rate);
-        lane.spacing = lane.refused > 0 ? refusing : SPACING * lane.spacing;
+        final boolean room = settings.couriers() > FEW_COURIERS && lane.reported && lane.left > LEFT_HIGH;
+        lane.spacing = lane.refused > 0 ? refusing : (room ? SPACING_GONE : SPACING) * lane.spacing;
         lane.peak = lane.calls.size();
         lane.ratioSum = lane.refused = lane.served = lane.bad = lane.errors = 0;
         lane.allowance = null;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -11,7 +11,9 @@
 import driftchute.Courier.Result;
 import driftchute.Courier.Update;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -384,6 +386,36 @@
         return calls;
     }
 
+    /** Days at size: after refusals above a limit calls were spaced out for long, with nine tenths of it left again. */
+    @Test
+    void aLimitThatHasRoomAgainIsUsedThoughCallsWereRefused() {
+        final Scene one = new Scene(Scene.fleetOf(14));
+        one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        IntStream.range(0, 30).forEach(job -> one.take("m" + job, SAFE));
+        one.pass(100 * MS);
+        final Set<String> ended = new HashSet<>();
+        for (final Scene.Sent send : List.copyOf(one.sent)) {
+            final Result result = ended.isEmpty() ? Result.DELIVERED : Result.REFUSED;
+            ended.add(send.id());
+            one.control.onOutcome(one.nowUs, new Courier.Outcome(send.id(), result, result == Result.DELIVERED, 1,
+                    10 * MS, 0, new Courier.Allowance(0.9, 22)));
+        }
+        one.control.decide(one.nowUs);
+        one.pass(SECOND);
+        ended.clear();
+        final int before = one.sent.size();
+        for (int tick = 0; tick < 400; tick++) {
+            one.pass(10 * MS);
+            for (final Scene.Sent send : List.copyOf(one.sent.subList(4, one.sent.size()))) {
+                if (ended.add(send.id())) {
+                    one.control.onOutcome(one.nowUs, one.outcome(send.id(), new Courier.Allowance(0.9, 22)));
+                    one.control.decide(one.nowUs);
+                }
+            }
+        }
+        assertTrue(one.sent.size() - before > 15, "calls in four seconds: " + (one.sent.size() - before));
+    }
+
     /** The list says 1 a second; a limit of a millionth would keep the next call off for days. */
     @Test
     void aLimitThatCannotBeIsIgnored() {
