Start only once discovery's agent has told what it has; a drain told meanwhile holds

What the agent has counts as told, also where it came while no process ran. At fault: Main.run, which called serve() right behind follow(); by then the watch was not even connected. Now a start waits for the first line of the watch, 1 s at most, since a silent agent says nothing (and then what is in the configuration is all there is).

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -52,6 +52,8 @@
     private static final int AGAIN_MOST_MS = 1200;
     private static final double AGAIN_JITTER = 0.3;
     private static final int CONNECT_MS = 1000;
+    /** How long a start waits for the agent's word at most: it answers at once, unless discovery is down. */
+    private static final int FIRST_WORD_MS = 1000;
     /** Different faults of the list that are said, at most. */
     private static final int MOST_FAULTS = 50;
     private static final int MOST_LINE_BYTES = 1 << 22;
@@ -68,6 +70,8 @@
     private InetSocketAddress address;
     private Watch watch;
     private boolean pushed;
+    /** What waits for the agent's first word; null once that has come, or nothing waits. */
+    private Runnable start;
     /** Watches in a row that ended without news, and what was wrong with the list so far. */
     private int barren;
     private final Set<String> faults = new HashSet<>();
@@ -150,6 +154,24 @@
         follow();
     }
 
+    /**
+     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came while
+     * no process ran, and the copy from the configuration does not have it. A silent agent is not waited for long.
+     */
+    void whenHeard(final Runnable begin) {
+        start = begin;
+        loop.schedule(this::heard, FIRST_WORD_MS, TimeUnit.MILLISECONDS);
+        follow();
+    }
+
+    private void heard() {
+        final Runnable begin = start;
+        start = null;
+        if (begin != null) {
+            begin.run();
+        }
+    }
+
     /** Watches for changes; while a watch is being asked for or stands, that is enough. */
     void follow() {
         if (watch != null) {
@@ -323,6 +345,7 @@
                         if (!text.isEmpty()) {
                             read(text);
                         }
+                        heard();
                     } else {
                         line.write(next);
                     }
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -124,12 +124,12 @@
     }
 
     /** Begins to follow the list, which a process that waits for its turn does too. Runs on the event loop. */
-    void follow(final boolean decides) {
+    void watchList() {
         discovery.restore(config.known());
-        if (!config.settings().listOnRequest()) {
-            discovery.push();
-        } else if (!decides) {
+        if (config.settings().listOnRequest()) {
             discovery.follow();
+        } else {
+            discovery.push();
         }
         loop.scheduleWithFixedDelay(this::count, 0, FIGURES_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::look, 0, MARKS_MS, TimeUnit.MILLISECONDS);
@@ -189,6 +189,11 @@
         }
     }
 
+    /** Runs what depends on the list once it is known what counts as told, or cannot be had. */
+    void whenListed(final Runnable begin) {
+        discovery.whenHeard(begin);
+    }
+
     /** Takes up what an earlier process held, and decides from now on. Runs on the event loop. */
     void start(final Journal owned) throws IOException {
         journal = owned;
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -108,9 +108,9 @@
             operators();
         }
         final boolean alone = turn.take();
-        host.follow(alone);
+        host.watchList();
         if (alone) {
-            serve();
+            host.whenListed(() -> orGiveUp(this::serve));
         } else {
             Log.info(config.name() + " stands by: another process of this courier serves");
             loop.schedule(() -> healthy = true, STAND_BY_MS, TimeUnit.MILLISECONDS);
@@ -131,10 +131,7 @@
 
     /** Waits until the process before this one lets go, or dies. */
     private void standBy() throws IOException {
-        if (ending) {
-            return;
-        }
-        if (turn.take()) {
+        if (ending || turn.take()) {
             serve();
         } else {
             loop.schedule(() -> orGiveUp(this::standBy), TURN_MS, TimeUnit.MILLISECONDS);
@@ -143,6 +140,9 @@
 
     /** It is this process's turn: it owns the journal, decides and takes clients. */
     private void serve() throws IOException {
+        if (ending) {
+            return;
+        }
         host.start(Journal.open(config.state(), config.diskBytes()));
         serving = true;
         intake.listen(group, loop, held).addListener(bound -> {
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -509,6 +509,32 @@
         assertEquals(before, rig.first.requests.size());
     }
 
+    @Test
+    void whatWasToldWhileNoProcessRanHoldsFromTheFirstCallOn() throws IOException, InterruptedException {
+        rig.discovery = "pushed";
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        for (int count = 0; count < 3; count++) {
+            assertEquals(202, rig.handIn("m" + count, "safe").status());
+        }
+        rig.await("a call", () -> !rig.first.requests.isEmpty());
+        rig.kill();
+        final int before = rig.first.requests.size();
+        rig.news = Rig.line(42, Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
+        rig.start();
+        rig.await("what was held goes elsewhere", () -> idsAt(rig.second).containsAll(List.of("m0", "m1", "m2")));
+        assertEquals(before, rig.first.requests.size(), "nothing new went to the endpoint that drains: " + rig.log);
+    }
+
+    @Test
+    void aSilentDiscoveryDoesNotKeepACourierFromStarting() throws IOException {
+        rig.discovery = "pushed";
+        rig.news = "";
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        rig.await("the call, by the list that was known", () -> idsAt(rig.first).contains("m1"));
+    }
+
     @Test
     void aCallThatStillConnectsToAnEndpointThatDrainsGoesElsewhere() throws IOException {
         rig.connectTimeoutUs = 60_000_000;
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -46,6 +46,8 @@
     String fleet = "\"balancers\":1";
     /** Each watch begins with a line that cannot be read. */
     boolean garbleLists;
+    /** What changed while nobody watched: the first line of each watch; none at all, while discovery is silent. */
+    volatile String news = "\n";
     /** Whether the courier has a second address. */
     boolean mgmt;
     long connectTimeoutUs = 1_000_000;
@@ -70,7 +72,10 @@
             connection.answer(noticeStatus, "");
         } else {
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            connection.chunk(garbleLists ? "{\"seq\":42,\"hosts\":[{\"ho\n" : "\n");
+            final String begin = garbleLists ? "{\"seq\":42,\"hosts\":[{\"ho\n" : news;
+            if (!begin.isEmpty()) {
+                connection.chunk(begin);
+            }
             watches.add(connection);
         }
     }
@@ -86,7 +91,11 @@
 
     /** Tells a change of the list over the newest watch. */
     void change(final long seq, final String host) {
-        watches.get(watches.size() - 1).chunk("{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + host + "]}\n");
+        watches.get(watches.size() - 1).chunk(line(seq, host));
+    }
+
+    static String line(final long seq, final String host) {
+        return "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + host + "]}\n";
     }
 
     /** Starts the program and waits until it is ready. */
