Heed a wait that was on its way when its call was given up

At fault: Endpoints.abandon closed the connection, and with it what was still to be read; finish told a wait only through messages that were still in the call. Now a call that was written is given up by ending our sending, as the protocol allows, and its answer is listened for 0.3 s more; any wait is told to the decisions by its endpoint.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -317,6 +317,16 @@
         goOn(job, outcome.over());
     }
 
+    @Override
+    public void onWait(final long now, final long endpoint, final long waitUs) {
+        nowUs = now;
+        Optional.ofNullable(nodes.get(endpoint)).ifPresent(node -> wait(node.lane, waitUs));
+    }
+
+    private void wait(final Lane lane, final long waitUs) {
+        lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + waitUs);
+    }
+
     /** With no attempt out: a message that is over ends, another waits for its next turn. */
     private void goOn(final Job job, final boolean over) {
         if (over || job.over) {
@@ -696,7 +706,7 @@
         final boolean first = lane.troubleFromUs == NEVER;
         lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
         // A wait may stand in any answer, also one that delivers some of a call's messages.
-        lane.waitUntilUs = Math.max(lane.waitUntilUs, nowUs + outcome.waitUs());
+        wait(lane, outcome.waitUs());
         switch (outcome.result()) {
             case DELIVERED -> {
                 learn(lane, job, outcome.durationUs());
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -182,6 +182,9 @@
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
+    /** An endpoint told to wait in an answer that came behind its attempt's end, or for none that is still held. */
+    void onWait(long nowUs, long endpoint, long waitUs);
+
     /**
      * A message of that key has ended, or had when this process began, by a notice that is not answered yet: until
      * {@link #onNoticeAnswered} it is not over for those behind it. A host whose ends are over at once never calls it.
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -18,6 +18,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -62,6 +63,8 @@
     private static final double SOCKET_SHARE = 0.3;
     /** How long the body of a 200, which means nothing, is waited for: the next of its key waits too. */
     private static final long BODY_MS = 200;
+    /** How long an answer that was on its way when its call was given up is listened for: a round trip, and more. */
+    private static final long LATE_MS = 300;
     private static final Pattern FIRST_LINE = Pattern.compile("HTTP/1\\.[01] 200(?!\\d)");
     private static final int MOST_LINE_CHARS = 64;
     private static final int OK = 200;
@@ -294,14 +297,16 @@
     }
 
     /**
-     * Ends a call from our side. Its connection is closed before the outcome is told, so that no further attempt
-     * of a message can meet this one.
+     * Ends a call from our side. Its connection, or our half of it, is closed before the outcome is told, so that no
+     * further attempt of a message can meet this one.
      */
     void abandon(final Call call, final Result result) {
         if (!calls.contains(call) && call.started) {
             return;
         }
-        if (call.channel != null) {
+        if (call.written && !call.delivered) {
+            call.channel.pipeline().get(Reader.class).letGo();
+        } else if (call.channel != null) {
             call.channel.close();
         }
         end(call);
@@ -346,6 +351,14 @@
         }
     }
 
+    /** A told wait binds the whole destination from now on, also calls that are on their way there. */
+    private void heed(final Pool told, final long waitUs) {
+        if (waitUs > 0) {
+            host.waitTold(told.endpoint, waitUs);
+            holdBack(other -> told.apart ? other.pool == told : other.pool.destination == told.destination);
+        }
+    }
+
     // ---------------------------------------------------------------- one connection
 
     /**
@@ -374,6 +387,8 @@
     private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
         private ChannelHandlerContext context;
         private Call call;
+        /** Whose answer to a call that was given up may still come. */
+        private Pool late;
         private long idleSinceUs;
         private HttpResponse head;
         private boolean keep;
@@ -428,12 +443,23 @@
             }
         }
 
+        /** Gives the call up by ending our sending: an answer that is on its way may still tell a wait, and that binds. */
+        private void letGo() {
+            late = call.pool;
+            call = null;
+            ((SocketChannel) context.channel()).shutdownOutput();
+            loop.schedule(() -> context.close(), LATE_MS, TimeUnit.MILLISECONDS);
+        }
+
         private void unpool() {
             pools.values().forEach(pool -> pool.idle.remove(this));
         }
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
+            if (late != null && part instanceof HttpResponse response) {
+                heed(late, waitUs(response));
+            }
             if (call == null) {
                 // Bytes that answer nothing: this connection cannot be trusted.
                 broken();
@@ -487,10 +513,7 @@
                 context.close();
             }
             final long waitUs = waitUs(head);
-            if (waitUs > 0) {
-                final Pool told = done.pool;
-                holdBack(other -> told.apart ? other.pool == told : other.pool.destination == told.destination);
-            }
+            heed(done.pool, waitUs);
             final Answer all = answer(done.pool, head, waitUs);
             if (done.many && head.status().code() == OK) {
                 tellEach(done, all);
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -473,6 +473,14 @@
         }
     }
 
+    /** An answer told to wait: that binds whether or not a message still hangs on it. */
+    void waitTold(final long endpoint, final long waitUs) {
+        if (leaving == null) {
+            control.onWait(clock.nowUs(), endpoint, waitUs);
+            touch();
+        }
+    }
+
     /** A message is out no more, here or at the process before this one. */
     private void settle(final Open open, final long endpoint, final Endpoints.Answer answer, final long durationUs) {
         open.lastResult = answer.result();
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -179,6 +179,16 @@
         assertTrue(scene.sent.size() > 1);
     }
 
+    @Test
+    void aWaitToldBehindTheEndOfAnAttemptHoldsAllTheSame() {
+        scene.control.onWait(scene.nowUs, 1, 1500 * MS);
+        scene.take("m", SAFE);
+        scene.pass(1499 * MS);
+        assertEquals(0, scene.sent.size());
+        scene.pass(2 * MS);
+        assertEquals(1, scene.sent.size());
+    }
+
     @Test
     void aToldWaitHoldsOnlyTheRouteWhereRoutesAreApart() {
         final Scene apart = Scene.withTwoEndpoints(Scene.settings(16, 1, true, false));
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -333,6 +333,23 @@
         assertTrue(tookMs >= waitMs, "sent after " + tookMs);
     }
 
+    @Test
+    void aWaitBindsThatWasOnItsWayWhenItsCallWasGivenUp() throws IOException {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        assertEquals(202, rig.send(Rig.message("m1", "once").replace("20000", "400")).status());
+        rig.await("the call", () -> rig.first.requests.size() == 1);
+        final FakeServer.Connection given = rig.first.connections.get(0);
+        rig.await("the call to be given up", () -> given.ended);
+        rig.first.script((request, connection) -> connection.accept(request));
+        final long toldNs = System.nanoTime();
+        given.answer(429, "", "Retry-After: 1.5");
+        assertEquals(202, rig.handIn("m2", "safe").status());
+        rig.await("what waited", () -> idsAt(rig.first).contains("m2"));
+        final long tookMs = TimeUnit.NANOSECONDS.toMillis(rig.first.requests.get(1).atNs() - toldNs);
+        assertTrue(tookMs >= 1500, "sent after " + tookMs);
+    }
+
     @Test
     void aMessageEndsInItsTimeThoughOthersStillWaitForTheCall() throws IOException {
         rig.start();
