Let the message that lives longest lead a shared call: its early end voided the answer

So the call goes by the message that it names first, and its answer counts for none of the others once that one is over.

Lines: Control.send puts what is most urgent first, which is what has least time, and Endpoints.prepare kept that order; Endpoints.expire ends each message in its own time while the call goes on. Mended in Endpoints.prepare: the one that lives longest is named first. Test: theMessageThatLivesLongestLeadsASharedCall.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -236,9 +236,14 @@
 
     // ---------------------------------------------------------------- calls
 
-    /** A call that has not begun; the journal comes first. */
+    /**
+     * A call that has not begun; the journal comes first. The message that lives longest leads it: the call goes by the
+     * one that it names first, and an answer counts for none of the others once that one has been ended.
+     */
     Call prepare(final long endpoint, final List<Host.Parcel> parcels) {
-        return new Call(pools.get(endpoint), endpoint, parcels, clock.nowUs());
+        final List<Host.Parcel> ranked = new ArrayList<>(parcels);
+        ranked.sort(Comparator.comparingLong((Host.Parcel parcel) -> parcel.open().endUs()).reversed());
+        return new Call(pools.get(endpoint), endpoint, ranked, clock.nowUs());
     }
 
     void start(final Call call) {
@@ -250,7 +255,7 @@
         loop.schedule(() -> abandon(call, Result.TIMED_OUT), call.deadlineUs - call.sentUs, TimeUnit.MICROSECONDS);
         for (final Host.Parcel parcel : call.parcels) {
             // Also one that would have been sent again sooner: the call may go on for longer than its time.
-            final long leftUs = parcel.open().validUntilUs - parcel.open().slackUs - call.sentUs;
+            final long leftUs = parcel.open().endUs() - call.sentUs;
             if (leftUs < call.deadlineUs - call.sentUs) {
                 loop.schedule(() -> expire(call, parcel), leftUs, TimeUnit.MICROSECONDS);
             }
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -77,6 +77,11 @@
             this.reply = reply;
             this.sinceUs = sinceUs;
         }
+
+        /** When it is ended at the latest. */
+        long endUs() {
+            return validUntilUs - slackUs;
+        }
     }
 
     /** One message's part in a call. */
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -375,6 +375,25 @@
                 "the two went in one call: " + idsAt(rig.first));
     }
 
+    @Test
+    void theMessageThatLivesLongestLeadsASharedCall() throws IOException {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        // The two take the window, so that the next three wait and go together when it has room again.
+        for (final String id : List.of("a", "b")) {
+            assertEquals(202, rig.handIn(id, "once").status());
+            rig.await(id, () -> idsAt(rig.first).contains(id));
+        }
+        assertEquals(202, rig.send(Rig.message("short", "once").replace("20000", "10000")).status());
+        assertEquals(202, rig.handIn("long", "once").status());
+        assertEquals(202, rig.send(Rig.message("middle", "once").replace("20000", "15000")).status());
+        for (final FakeServer.Request request : List.copyOf(rig.first.requests)) {
+            request.connection().accept(request);
+        }
+        rig.await("the shared call", () -> idsAt(rig.first).size() == 5);
+        assertEquals(List.of("long", "middle", "short"), rig.first.requests.get(2).ids());
+    }
+
     @Test
     void aKeyIsFreeOnceTheCallThatItsEndedMessageSharedIsOver() throws IOException {
         final List<String> silent = List.of("a", "b", "long");
