Give a call up with its last message, and tell one that was never written as not run

Lines: Endpoints.expire took the only message out of its call and told TIMED_OUT, which may have run, whatever had been written; the empty call went on until its own end a moment later, and a connection that came up between the two wrote it. Ruled out: a call abandoned before it came up (the connect listener looks for that). Now the last message's end gives the call up, which knows what was written and whether 200 has come; a message that leaves an unwritten shared call has not run. Test: aMessageWhoseTimeIsUpWhileItsCallStillConnectsHasNotRun (was: undeliverable).

Test: aKeyedMessageWithoutAKeyOfItsOwnGoesByItsId (was: 400).

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -325,13 +325,24 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
-    /** A message whose own time is up leaves a call that others still wait for. It is not sent again. */
+    /**
+     * A message whose own time is up leaves a call that others still wait for. It is not sent again. With the last of its
+     * messages the call is given up; one that is not written yet had none of them run.
+     */
     private void expire(final Call call, final Host.Parcel parcel) {
-        if (calls.contains(call) && call.parcels.remove(parcel)) {
+        if (!calls.contains(call) || !call.parcels.contains(parcel)) {
+            return;
+        }
+        if (call.parcels.size() == 1) {
+            abandon(call, Result.TIMED_OUT);
+            return;
+        }
+        call.parcels.remove(parcel);
+        if (call.written) {
             call.left.add(parcel);
             host.staysOut(parcel);
-            host.outcome(parcel, call, new Answer(Result.TIMED_OUT, false, 0, null));
         }
+        host.outcome(parcel, call, new Answer(call.written ? Result.TIMED_OUT : Result.NO_CONNECTION, false, 0, null));
     }
 
     /** A call is out no more; false if it was not. */
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -426,10 +426,9 @@
             final long timeoutMs = whole(headers.get("X-Timeout-Ms"));
             final long destination = destination(headers.get("X-Consignee"));
             final String key = headers.get("Idempotency-Key");
-            final boolean keyed = kind.effect() == Courier.Effect.KEYED;
             if (OWN_HEADERS.stream().anyMatch(name -> headers.getAll(name).size() != 1) || id.isEmpty() || id.length() > MOST_ID_CHARS
                     || timeoutMs < 0 || destination < 0
-                    || !kind.name().equals(headers.get("X-Priority-Class")) || keyed && (key == null || key.isEmpty())) {
+                    || !kind.name().equals(headers.get("X-Priority-Class"))) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
