Answer every request that is here at SIGTERM, and close no connection over unread bytes

Lines at fault: Main.stop ended on host.idle() alone (Intake.isDone was always true without a hand-over); closeIfIdle, answer and giveUp called close() on the channel; stopListening closed the socket at once; reject() wrote ahead of the requests in the queue; `begun` knew nothing of what the decoder still holds.

Now a connection ends by ending our sending, reading away what comes (it is not served: the client sends it again) and closing after LINGER_MS; idle ones are closed a moment after SIGTERM; the queue is emptied first; the process ends once every client has its answer, and refuses what is not whole 0.7 s before it must end.

Ruled out: TCP_NODELAY, which Netty sets on each connection by itself.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -88,11 +87,22 @@
     private static final long SPARED_US = 200_000;
     /** How long accepting rests when there is no room. */
     private static final long REST_MS = 20;
+    /** Share of the connections that there was room for, once descriptors have run out, and for how long it binds. */
+    private static final double SHORT_SHARE = 0.75;
+    private static final double LEAST_SHARE = 0.05;
+    private static final long SHORT_US = 10_000_000;
+    /** Before the listening socket is closed, what lies in its queue is let in: so often it is looked at, at most. */
+    private static final int MOST_LAST_LOOKS = 10;
 
     private final Config config;
     private final Clock clock;
     private final Host host;
     private final int mostConnections;
+    /** Less than that while descriptors have run out below it. */
+    private int roomFor;
+    private long shortUntilUs;
+    /** Connections accepted so far. */
+    private long accepted;
     private final Set<Session> sessions = new HashSet<>();
     private Channel listener;
     /** This process ends: answers end their connections. */
@@ -111,6 +121,7 @@
         this.clock = clock;
         this.host = host;
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
+        this.roomFor = mostConnections;
     }
 
     /**
@@ -127,9 +138,10 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        final Session session = new Session();
-                        channel.pipeline().addLast(new Arrivals(session), new StrictDecoder(),
-                                new HttpResponseEncoder(), new HttpServerExpectContinueHandler(), session);
+                        final StrictDecoder decoder = new StrictDecoder();
+                        final Session session = new Session(decoder);
+                        channel.pipeline().addLast(new Arrivals(session), decoder, new HttpResponseEncoder(),
+                                new HttpServerExpectContinueHandler(), session);
                     }
                 });
         final ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(config.listen());
@@ -142,10 +154,14 @@
         return listener.localAddress().toString().replaceFirst(".*/", "");
     }
 
-    /** From now on answers end their connections, and those on which nothing is asked are closed. */
+    /**
+     * From now on answers end their connections, and those on which nothing is asked are closed; a moment later, so that
+     * requests that had come by now are read and answered.
+     */
     void drain() {
         draining = true;
-        List.copyOf(sessions).forEach(Session::closeIfIdle);
+        listener.eventLoop().schedule(() -> List.copyOf(sessions).forEach(Session::closeIfIdle), REST_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** By hand: takes no more clients, but goes on serving what is held and what still comes. Or takes them again. */
@@ -160,10 +176,27 @@
         return leftUs != NEVER;
     }
 
-    /** Accepts no further connection; those that stand are still served. */
+    /**
+     * Accepts no further connection; those that stand are still served. Closing the socket resets what lies in its
+     * queue, where connections wait if this process had no core: they are let in first.
+     */
     void stopListening() {
-        stopAccepting();
-        List.copyOf(sessions).forEach(Session::closeIfIdle);
+        stopListening(-1, MOST_LAST_LOOKS);
+    }
+
+    private void stopListening(final long acceptedBefore, final int looksLeft) {
+        if (accepted != acceptedBefore && looksLeft > 0) {
+            final long before = accepted;
+            listener.eventLoop().schedule(() -> stopListening(before, looksLeft - 1), REST_MS, TimeUnit.MILLISECONDS);
+        } else {
+            stopAccepting();
+            List.copyOf(sessions).forEach(Session::closeIfIdle);
+        }
+    }
+
+    /** The process ends soon: a request that is not whole by now is refused, so that none is cut off unanswered. */
+    void finish() {
+        List.copyOf(sessions).forEach(Session::finish);
     }
 
     /** A socket that others hold too is left open, and not read from. */
@@ -188,13 +221,24 @@
         }
     }
 
-    /** True when nobody is cut off by the end of this process: where another accepts, each client has been sent there. */
+    /** True when nobody is cut off by the end of this process: each client has its answer, and has been sent elsewhere. */
     boolean isDone() {
-        return !leaving || sessions.isEmpty();
+        return !accepting && sessions.isEmpty();
+    }
+
+    /** Descriptors have run out, though clients hold no more than their share: silent ones give some back. */
+    void relieve() {
+        final double least = LEAST_SHARE * mostConnections;
+        roomFor = (int) Math.max(1, Math.min(roomFor, Math.max(least, SHORT_SHARE * sessions.size())));
+        shortUntilUs = clock.nowUs() + SHORT_US;
+        makeRoom();
     }
 
     private void sweep() {
         final long beforeUs = clock.nowUs() - REQUEST_US;
+        if (clock.nowUs() >= shortUntilUs) {
+            roomFor = mostConnections;
+        }
         for (final Session session : List.copyOf(sessions)) {
             if (session.dueSinceUs <= beforeUs) {
                 session.giveUp();
@@ -206,7 +250,7 @@
 
     /** Too many connections: those that have been silent for longest make room, or else nobody is let in for now. */
     private void makeRoom() {
-        while (sessions.size() >= mostConnections) {
+        while (sessions.size() >= roomFor) {
             final long beforeUs = clock.nowUs() - SPARED_US;
             final Session silent = sessions.stream().filter(session -> session.isOfNoUse(beforeUs))
                     .min(Comparator.comparing((Session session) -> !session.closing)
@@ -243,7 +287,7 @@
             if (!resting) {
                 Log.info("cannot accept with " + sessions.size() + " clients connected: " + cause);
             }
-            makeRoom();
+            relieve();
             rest();
         }
     }
@@ -254,6 +298,11 @@
         protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
             throw new IllegalArgumentException("both a length and chunks");
         }
+
+        /** Bytes have come that are no whole line or body yet. */
+        boolean hasRest() {
+            return actualReadableBytes() > 0;
+        }
     }
 
     /** Sees the first bytes of a request, long before the decoder has a whole head to tell of. */
@@ -280,10 +329,13 @@
         private HttpRequest head;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final Deque<Request> queue = new ArrayDeque<>();
+        private final StrictDecoder decoder;
         private Request current;
         private String currentId;
         private boolean reading;
-        /** A rejected request's rest is read away, and nothing further is served. */
+        /** What comes behind is no request, and is refused so once those ahead of it have their answers; or null. */
+        private HttpResponseStatus fault;
+        /** All answers are written: what still comes is read away, and nothing further is served. */
         private boolean closing;
         private long sinceUs = clock.nowUs();
         /** When it last sent something, or was answered. */
@@ -296,6 +348,10 @@
         /** When its first bytes came: its time runs from when its client sent it, however slowly it is written. */
         private long begunUs;
 
+        Session(final StrictDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         private void arrived() {
             heardUs = clock.nowUs();
             begunUs = begun ? begunUs : heardUs;
@@ -306,12 +362,21 @@
         /** Where nothing is asked nothing is answered: a late answer would be taken for the next request's. */
         private void giveUp() {
             if (!begun) {
-                context.close();
+                part();
             } else {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         }
 
+        /** The process ends soon. */
+        private void finish() {
+            if (isIdle() && !begun) {
+                part();
+            } else if (!closing && (begun || reading)) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+
         /** It has no request that is whole, and has been silent since then. */
         private boolean isOfNoUse(final long beforeUs) {
             return context != null && current == null && queue.isEmpty() && heardUs <= beforeUs;
@@ -323,17 +388,43 @@
 
         private void closeIfIdle() {
             if (isIdle() && !begun) {
-                context.close();
+                part();
+            }
+        }
+
+        /**
+         * Ends our sending, and reads away what the client sent before it saw that: closing over unread bytes would reset
+         * the connection, and take an answer along that the client has not read. What is read then is not served: the
+         * client sends it once more elsewhere.
+         */
+        private void part() {
+            closing = true;
+            reading = false;
+            dueSinceUs = NEVER;
+            if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
+                socket.config().setAutoRead(true);
+                socket.shutdownOutput();
             }
+            context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
             context = ctx;
+            accepted++;
             makeRoom();
             sessions.add(this);
         }
 
+        @Override
+        public void channelReadComplete(final ChannelHandlerContext ctx) {
+            // Behind a whole request, a half one has come in the same read: its time runs too.
+            if (!begun && !reading && !closing && decoder.hasRest()) {
+                arrived();
+            }
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             sessions.remove(this);
@@ -345,7 +436,7 @@
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (closing) {
+            if (closing || fault != null) {
                 return;
             }
             if (part.decoderResult().isFailure()) {
@@ -393,6 +484,9 @@
                 sinceUs = clock.nowUs();
                 serve(current);
             }
+            if (fault != null && current == null && !closing) {
+                refuse(fault);
+            }
             context.channel().config().setAutoRead(queue.size() < MOST_QUEUED);
         }
 
@@ -472,7 +566,9 @@
         private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
             // Whoever does not speak as agreed is not kept, or its connections would fill the descriptors.
             final boolean strange = status.codeClass() == HttpStatusClass.CLIENT_ERROR && status.code() != TOO_MANY;
-            final boolean keep = HttpUtil.isKeepAlive(current.head()) && !draining && !isLeft() && !strange;
+            // A request that is here already, or a part of it, is answered too: the last one's answer says close.
+            final boolean more = !queue.isEmpty() || begun || reading || fault != null;
+            final boolean keep = HttpUtil.isKeepAlive(current.head()) && !strange && (more || !draining && !isLeft());
             current = null;
             currentId = null;
             heardUs = clock.nowUs();
@@ -486,27 +582,30 @@
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
             }
             final ChannelFuture written = context.writeAndFlush(response);
-            if (!keep && queue.isEmpty()) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
+            if (keep) {
                 context.executor().execute(this::next);
+            } else {
+                closing = true;
+                queue.clear();
+                written.addListener(done -> part());
             }
             return written;
         }
 
-        /** Answers what cannot be read, and reads away what is still coming, lest a reset overtake the answer. */
+        /** What has come is no request, or never gets whole: those ahead of it have their answers first. */
         private void reject(final HttpResponseStatus status) {
-            closing = true;
+            fault = status;
             reading = false;
+            begun = false;
             dueSinceUs = NEVER;
+            next();
+        }
+
+        private void refuse(final HttpResponseStatus status) {
+            closing = true;
             final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-            context.writeAndFlush(response).addListener(written -> {
-                if (context.channel() instanceof SocketChannel socket && written.isSuccess()) {
-                    socket.shutdownOutput();
-                }
-                context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-            });
+            context.writeAndFlush(response).addListener(written -> part());
         }
 
         @Override
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -21,6 +21,8 @@
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
+    /** So long before that no request is waited for any more; its refusal still gets to its client. */
+    private static final long FINISH_MS = 700;
     /** How often a process that stands by looks whether it is its turn, and how long it warms up first. */
     private static final long TURN_MS = 3;
     private static final long STAND_BY_MS = 700;
@@ -218,6 +220,7 @@
                 host.stopping(stopUs);
                 loop.schedule(intake::stopListening, LISTEN_MS, TimeUnit.MILLISECONDS);
             }
+            loop.schedule(intake::finish, STOP_MS - FINISH_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
                 if (clock.nowUs() >= stopUs || host.idle() && intake.isDone()) {
                     stopped.countDown();
