Wait whole milliseconds for a timer: Netty spun through the last half of one

Three couriers used 5 to 7 s of processor where the others used 2.2.

A trace of the threads gave the loop's own thread 0.5 to 0.8 s of processor in stalls of up to 1.5 s, and thread dumps taken then show it in Selector.selectNow under NioIoHandler.select, again and again.

Lines at fault: Main's and Operators' event loop as Netty makes it.

The loop now rounds its wait up; a timer is up to 1 ms late.

--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -4,8 +4,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.time.ZoneId;
@@ -30,7 +30,8 @@
     private static final long ACCEPT_US = 1_500_000;
     private static final long US_PER_MS = 1000;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new PatientLoopGroup(new DefaultThreadFactory("courier"),
+            NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final CountDownLatch stopped = new CountDownLatch(1);
--- a/src/main/java/driftchute/node/Operators.java
+++ b/src/main/java/driftchute/node/Operators.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -55,7 +54,7 @@
     }
 
     private final Desk desk;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+    private final EventLoopGroup group = new PatientLoopGroup(
             new DefaultThreadFactory("operators", true, Thread.MAX_PRIORITY), NioIoHandler.newFactory());
     /** Those that have not sent a whole line yet, oldest first. */
     private final Set<Channel> silent = new LinkedHashSet<>();
--- /dev/null
+++ b/src/main/java/driftchute/node/PatientLoopGroup.java
@@ -0,0 +1,37 @@
+package driftchute.node;
+
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadIoEventLoop;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One event loop that waits whole milliseconds, rounded up, for its next timer. A selector cannot wait for less, and
+ * Netty, left alone, asks it without end through the last half of one: up to half a millisecond of the processor for each
+ * timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead.
+ */
+final class PatientLoopGroup extends MultiThreadIoEventLoopGroup {
+    private static final long NS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    PatientLoopGroup(final ThreadFactory threads, final IoHandlerFactory handlers) {
+        super(1, threads, handlers);
+    }
+
+    @Override
+    protected IoEventLoop newChild(final Executor executor, final IoHandlerFactory handlers, final Object... unused) {
+        return new SingleThreadIoEventLoop(this, executor, handlers) {
+            @Override
+            protected long delayNanos(final long nowNs) {
+                return wholeMs(super.delayNanos(nowNs));
+            }
+        };
+    }
+
+    /** Rounded up to whole milliseconds; what is due already stays so. */
+    static long wholeMs(final long ns) {
+        return ns <= 0 || ns > Long.MAX_VALUE - NS_PER_MS ? ns : (ns + NS_PER_MS - 1) / NS_PER_MS * NS_PER_MS;
+    }
+}
