Keep calls, the list and notices going when no descriptor is left

What was seen, on loopback with fewer descriptors than the configuration says (100) and a crowd of idle clients that comes again as it is closed: no new watch within 20 s after the old one broke; a client with a message was not answered; and where a call found no descriptor its message had no end.

Lines at fault: a connect that gets no descriptor fails on a channel that never was, and its listener runs on a thread of Netty's. In Endpoints.connect that moved the loop's state from another thread, closed a channel that has no loop (an IllegalStateException: the call stayed, its slot too) and counted a connection that never ends; Notices and Discovery did their part on that thread as well. Intake.makeRoom knew the configured share only, so the crowd took each descriptor that came free.

Ruled out: the bound on clients by itself, which holds where the limit is what the configuration says.

Tests: CallCrossingsTest, two cases; both were seen to fail without this. A first form of one failed once with it: classes that a test loads from a folder each need a descriptor. In service they come out of one open file; the test warms up.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -197,6 +197,9 @@
                         channel.pipeline().addLast(new HttpClientCodec(), fresh);
                     }
                 }).connect(address);
+        if (!connecting.channel().isRegistered()) {
+            host.shortOfDescriptors();
+        }
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 // With no descriptor left this is told on a thread of Netty's, not on the loop's.
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -229,11 +229,16 @@
 
     private void makeRoom() {
         if (connections >= mostConnections) {
-            pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
-                    .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
+            closeOldest();
         }
     }
 
+    /** Gives up the connection that has been idle for longest. */
+    void closeOldest() {
+        pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
+                .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
+    }
+
     // ---------------------------------------------------------------- calls
 
     /**
@@ -285,9 +290,15 @@
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
+        final ChannelFuture connecting = bootstrap.connect(call.pool.address);
+        if (!connecting.channel().isRegistered()) {
+            // No descriptor is left: there is no channel that could be closed, nor a thread that owns it.
+            host.shortOfDescriptors();
+            loop.execute(() -> abandon(call, Result.NO_CONNECTION));
+            return;
+        }
         connections++;
         opened++;
-        final ChannelFuture connecting = bootstrap.connect(call.pool.address);
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -113,6 +113,7 @@
     /** What operators have taken out or put back of late, by the endpoints' names; the folder holds it. */
     private Map<String, Long> marks = Map.of();
     private final Marks folder;
+    private Runnable relief = () -> { };
     private boolean passDue;
 
     Host(final Config config, final EventLoop loop, final Clock clock) {
@@ -426,6 +427,17 @@
         touch();
     }
 
+    /** What gives descriptors back, if any can. */
+    void onShortage(final Runnable relief) {
+        this.relief = relief;
+    }
+
+    /** No connection could be opened to discovery, to the platform or to an endpoint, as no descriptor is left. */
+    void shortOfDescriptors() {
+        endpoints.closeOldest();
+        relief.run();
+    }
+
     /** A client's connection was closed to make room. */
     void shed() {
         counters.shed();
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -107,6 +107,7 @@
     private void run() throws IOException {
         host = new Host(config, loop, clock);
         intake = new Intake(config, clock, host);
+        host.onShortage(intake::relieve);
         if (config.mgmt() != null) {
             operators();
         }
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -111,7 +112,7 @@
     private void connect() {
         final Line fresh = new Line();
         final InetSocketAddress to = address;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        final ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -119,21 +120,26 @@
                         channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER_BYTES),
                                 fresh);
                     }
-                }).connect(to).addListener(done -> {
-                    if (done.isSuccess() && !to.equals(address)) {
-                        fresh.context.close();
-                        connect();
-                    } else if (done.isSuccess()) {
-                        line = fresh;
-                        if (dropped) {
-                            fresh.context.close();
-                        } else {
-                            fresh.post();
-                        }
-                    } else {
-                        again();
-                    }
-                });
+                }).connect(to);
+        if (!connecting.channel().isRegistered()) {
+            host.shortOfDescriptors();
+        }
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                // With no descriptor left this is told on a thread of Netty's, not on the loop's.
+                loop.execute(this::again);
+            } else if (!to.equals(address)) {
+                fresh.context.close();
+                connect();
+            } else {
+                line = fresh;
+                if (dropped) {
+                    fresh.context.close();
+                } else {
+                    fresh.post();
+                }
+            }
+        });
     }
 
     /** What was told and not confirmed is due again, ahead of the rest, after a moment. */
--- /dev/null
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -0,0 +1,118 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Calls that meet a deadline, a window, a lack of descriptors or a client's going, in each order. */
+@Timeout(120)
+final class CallCrossingsTest {
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    /** Keeps a crowd of idle connections open, each anew when it is closed, until it is told to stop. */
+    private Thread crowd(final AtomicBoolean over) {
+        final Thread thread = new Thread(() -> {
+            final List<Socket> sockets = new ArrayList<>();
+            try {
+                while (!over.get()) {
+                    sockets.removeIf(socket -> {
+                        try {
+                            socket.setSoTimeout(1);
+                            return socket.getInputStream().read() < 0;
+                        } catch (final SocketTimeoutException e) {
+                            return false;
+                        } catch (final IOException e) {
+                            return true;
+                        }
+                    });
+                    while (sockets.size() < 120 && !over.get()) {
+                        sockets.add(rig.connect());
+                    }
+                }
+                for (final Socket socket : sockets) {
+                    socket.close();
+                }
+            } catch (final IOException e) {
+                assertFalse(rig.isAlive(), "the courier still listens");
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /**
+     * A message's whole way, so that its classes are loaded: from a folder, as in tests, each takes a descriptor. In
+     * service they come out of one file that is open from the start on.
+     */
+    private void warmUp() throws IOException {
+        assertEquals(202, rig.handIn("m0", "once").status());
+        rig.await("its notice", () -> rig.noticed("m0", "undeliverable"));
+    }
+
+    @Test
+    void withAllDescriptorsTakenByIdleClientsTheListNoticesAndHonestClientsAreServed()
+            throws IOException, InterruptedException {
+        rig.discovery = "pushed";
+        // Fewer than the configuration says: clients fill them long before their share of its figure.
+        rig.before = "ulimit -n 100";
+        rig.first.script((request, connection) -> connection.reset());
+        rig.start();
+        rig.await("the watch", () -> rig.watches.size() == 1);
+        warmUp();
+        final AtomicBoolean over = new AtomicBoolean();
+        final Thread crowd = crowd(over);
+        rig.await("that no descriptor is left", () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
+        // The descriptor of this watch is free for a moment, and the crowd waits for it.
+        rig.watches.get(0).reset();
+        rig.await("another watch", () -> rig.watches.size() >= 2);
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("its call", () -> rig.first.requests.size() == 2);
+        rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
+        over.set(true);
+        crowd.join(TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
+        assertFalse(rig.log.stream().anyMatch(line -> line.contains("IllegalStateException")), rig.log.toString());
+    }
+
+    @Test
+    void aCallThatFindsNoDescriptorEndsItsMessageInTime() throws IOException, InterruptedException {
+        rig.before = "ulimit -n 100";
+        rig.first.script((request, connection) -> connection.reset());
+        rig.start();
+        warmUp();
+        final AtomicBoolean over = new AtomicBoolean();
+        final Thread crowd = crowd(over);
+        rig.await("that no descriptor is left",
+                () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
+        final String message = Rig.message("m1", "once").replace("20000", "4000");
+        assertEquals(202, rig.send(message).status());
+        rig.await("its end", () -> rig.noticed("m1", "undeliverable") || rig.noticed("m1", "deferred"));
+        over.set(true);
+        crowd.join(TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
+    }
+}
