Write no repeat of a keyed message whose connection comes up behind its window

Which ones were the two that were told is not shown: a call that is written leaves no line.

Ruled out: the decision, which goes by 0.95 of the window from the first attempt's begin, in the same process or the next.

Lines at fault: Endpoints.connect writes a call whenever its connection comes up; a cut ends up to a second later. The rule counts from the write.

Each message in a call now has a time up to which it may be written; the call is given up then, unwritten, and checked once more at the write, as the loop reads sockets ahead of timers.

Test: CallCrossingsTest, a full accept queue that opens behind the window; seen to fail without this.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -142,6 +142,7 @@
         private final long endpoint;
         private final long sentUs;
         private final long deadlineUs;
+        private final long writeByUs;
         private final List<Host.Parcel> parcels;
         /** Messages that have had their end while the call goes on: to their endpoint they are still out. */
         private final List<Host.Parcel> left = new ArrayList<>();
@@ -159,6 +160,7 @@
             this.parcels = new ArrayList<>(parcels);
             this.many = parcels.size() > 1;
             this.sentUs = sentUs;
+            this.writeByUs = parcels.stream().mapToLong(Host.Parcel::writeByUs).min().orElse(Held.NEVER);
             this.deadlineUs = sentUs + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
         }
 
@@ -265,6 +267,13 @@
                 loop.schedule(() -> expire(call, parcel), leftUs, TimeUnit.MICROSECONDS);
             }
         }
+        if (call.writeByUs < call.deadlineUs) {
+            loop.schedule(() -> {
+                if (!call.written) {
+                    abandon(call, Result.NO_CONNECTION);
+                }
+            }, call.writeByUs - call.sentUs, TimeUnit.MICROSECONDS);
+        }
         call.started = true;
         final Reader idle = idle(call.pool);
         if (idle != null) {
@@ -450,6 +459,12 @@
         }
 
         private void write(final Call next) {
+            if (clock.nowUs() >= next.writeByUs) {
+                // Its connection came up too late for a repeat.
+                context.close();
+                abandon(next, Result.NO_CONNECTION);
+                return;
+            }
             call = next;
             call.channel = context.channel();
             head = null;
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -35,6 +35,8 @@
      * had before. Seen: 0.8 s. An end is late 0.3 s after the time is up.
      */
     private static final long UNREAD_US = 700_000;
+    /** Share of a key's window that is kept free at its end, as the decisions do. */
+    private static final double KEY_MARGIN = 0.05;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
@@ -84,8 +86,8 @@
         }
     }
 
-    /** One message's part in a call. */
-    record Parcel(Open open, long timeoutUs) { }
+    /** One message's part in a call, which may be written until {@code writeByUs} and not after. */
+    record Parcel(Open open, long timeoutUs, long writeByUs) { }
 
     private final Config config;
     private final EventLoop loop;
@@ -622,10 +624,22 @@
     public void send(final String messageId, final long endpoint, final long timeoutUs) {
         final Open open = messages.get(messageId);
         if (open != null) {
-            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>()).add(new Parcel(open, timeoutUs));
+            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>()).add(new Parcel(open, timeoutUs, writeByUs(open)));
         }
     }
 
+    /**
+     * A repeat of a keyed message is sent while its key is remembered: it was decided so, but its connection may come up
+     * later than that. So long before the end of the window nothing is written any more: it is still on its way then.
+     */
+    private long writeByUs(final Open open) {
+        final long firstWallUs = open.held.firstRunWallUs();
+        if (open.kind.effect() != Courier.Effect.KEYED || firstWallUs == Held.NEVER) {
+            return Held.NEVER;
+        }
+        return clock.fromWallUs(firstWallUs) + (long) ((1 - KEY_MARGIN) * open.kind.keyWindowUs());
+    }
+
     @Override
     public void refuse(final String messageId, final long retryAfterUs) {
         final Open open = messages.get(messageId);
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -2,13 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -20,6 +24,8 @@
 /** Calls that meet a deadline, a window, a lack of descriptors or a client's going, in each order. */
 @Timeout(120)
 final class CallCrossingsTest {
+    private static final long WINDOW_MS = 300;
+
     @TempDir
     private Path folder;
     private Rig rig;
@@ -34,6 +40,83 @@
         rig.close();
     }
 
+    /** A server that takes no connection up until it is told to: its queue is full. */
+    private static final class Late implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        private final List<Socket> fillers = new ArrayList<>();
+        private final List<String> lines = new CopyOnWriteArrayList<>();
+
+        Late() throws IOException {
+            for (int count = 0; count < 4; count++) {
+                final Socket filler = new Socket();
+                fillers.add(filler);
+                try {
+                    filler.connect(server.getLocalSocketAddress(), 200);
+                } catch (final SocketTimeoutException e) {
+                    break;
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Takes up all that come from now on, and keeps the first line of each. */
+        void open() {
+            final Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        final Socket socket = server.accept();
+                        final Thread reader = new Thread(() -> {
+                            try {
+                                final String line = FakeServer.line(socket.getInputStream());
+                                if (!line.isEmpty()) {
+                                    lines.add(line);
+                                }
+                            } catch (final IOException e) {
+                                assertTrue(e.getMessage() != null);
+                            }
+                        });
+                        reader.setDaemon(true);
+                        reader.start();
+                    }
+                } catch (final IOException e) {
+                    assertTrue(server.isClosed());
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (final Socket filler : fillers) {
+                filler.close();
+            }
+            server.close();
+        }
+    }
+
+    @Test
+    void aRepeatWhoseConnectionComesUpBehindItsKeysWindowIsNotWritten() throws IOException {
+        rig.connectTimeoutUs = 60_000_000;
+        rig.first.script((request, connection) -> connection.reset());
+        try (Late late = new Late()) {
+            rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", late.address(), "Ready");
+            rig.start();
+            assertEquals(202, rig.handIn("m1", "brief").status());
+            rig.await("the first attempt, which may have run", () -> rig.first.requests.size() == 1);
+            final long firstNs = rig.first.requests.get(0).atNs();
+            rig.await("the end of the window", () -> System.nanoTime() - firstNs
+                    > TimeUnit.MILLISECONDS.toNanos(WINDOW_MS));
+            late.open();
+            rig.await("its end", () -> rig.noticed("m1", "deferred"));
+            assertEquals(List.of(), late.lines, "nothing goes out behind the window");
+            assertEquals(1, rig.first.requests.size());
+        }
+    }
+
     /** Keeps a crowd of idle connections open, each anew when it is closed, until it is told to stop. */
     private Thread crowd(final AtomicBoolean over) {
         final Thread thread = new Thread(() -> {
