Hold a short message for seven tenths of its time: the unread margin is a quarter of it at most

Line at fault: Open.slackUs, 0.7 s or half of what is left, which a short time cannot bear. It is a quarter at most now: 1.5 s of 2 s, and the full margin from 2.8 s on, so that longer classes are as before. A client that waits 400 ms for its answer hands a message in that is 0.4 s old at most; its notice is late 0.35 s after its time.

Test: CallCrossingsTest, seen to fail without this.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -35,6 +35,8 @@
      * had before. Seen: 0.8 s. An end is late 0.3 s after the time is up.
      */
     private static final long UNREAD_US = 700_000;
+    /** At most that share of what is left of its time: one that is given up before seven tenths of it is priced. */
+    private static final double UNREAD_SHARE = 0.25;
     /** Share of a key's window that is kept free at its end, as the decisions do. */
     private static final double KEY_MARGIN = 0.05;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
@@ -75,7 +77,7 @@
             this.held = held;
             this.kind = kind;
             this.validUntilUs = validUntilUs;
-            this.slackUs = Math.max(0, Math.min(UNREAD_US, (validUntilUs - sinceUs) / 2));
+            this.slackUs = Math.max(0, Math.min(UNREAD_US, (long) (UNREAD_SHARE * (validUntilUs - sinceUs))));
             this.reply = reply;
             this.sinceUs = sinceUs;
         }
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -117,6 +117,20 @@
         }
     }
 
+    @Test
+    void aMessageThatSurelyHasNotRunIsHeldForSevenTenthsOfItsTimeHoweverShort() throws IOException {
+        final FakeServer shut = new FakeServer((request, connection) -> { });
+        shut.close();
+        rig.hosts = Rig.host("e0", shut, "Ready");
+        rig.start();
+        final long timeMs = 2000;
+        final long handedNs = System.nanoTime();
+        assertEquals(202, rig.send(Rig.message("m1", "once").replace("20000", Long.toString(timeMs))).status());
+        rig.await("its notice", () -> rig.noticed("m1", "deferred"));
+        final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - handedNs);
+        assertTrue(tookMs >= timeMs * 7 / 10, "given up after " + tookMs + " ms");
+    }
+
     /** Keeps a crowd of idle connections open, each anew when it is closed, until it is told to stop. */
     private Thread crowd(final AtomicBoolean over) {
         final Thread thread = new Thread(() -> {
