Send nothing that was withdrawn while it was answered, and take no id whose notice is owed

Host.pass answers what was taken and then sends what the decisions asked for: where the answer finds the client gone its message is withdrawn, and it was sent all the same, though its client may hand it in again elsewhere.

Tests: CallCrossingsTest, one case each; both were seen to fail without this.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -406,7 +406,7 @@
 
     /** True while a message of that id is owed its end. */
     boolean holds(final String id) {
-        return messages.containsKey(id) || handedOn.contains(id);
+        return messages.containsKey(id) || handedOn.contains(id) || journal != null && journal.holds(id);
     }
 
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
@@ -600,7 +600,10 @@
         }
     }
 
-    private void sendAll(final long endpoint, final List<Parcel> parcels) {
+    private void sendAll(final long endpoint, final List<Parcel> decided) {
+        final List<Parcel> parcels = new ArrayList<>(decided);
+        // Its client went while it was being answered: nobody wants it, and the same client may hand it in elsewhere.
+        parcels.removeIf(this::isWithdrawn);
         final int most = Math.max(1, discovery.messagesPerCall(endpoint));
         for (int from = 0; from < parcels.size(); from += most) {
             final List<Parcel> some = parcels.subList(from, Math.min(parcels.size(), from + most));
@@ -620,6 +623,15 @@
         }
     }
 
+    private boolean isWithdrawn(final Parcel parcel) {
+        if (parcel.open().over) {
+            control.onOutcome(clock.nowUs(), new Courier.Outcome(parcel.open().held.id, Courier.Result.NOT_SENT, true, 0, 0,
+                    0, null));
+            touch();
+        }
+        return parcel.open().over;
+    }
+
     // ---------------------------------------------------------------- what the decisions ask for
 
     @Override
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -4,7 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -25,6 +30,7 @@
 @Timeout(120)
 final class CallCrossingsTest {
     private static final long WINDOW_MS = 300;
+    private static final long LIFE_US = 20_000_000;
 
     @TempDir
     private Path folder;
@@ -131,6 +137,63 @@
         assertTrue(tookMs >= timeMs * 7 / 10, "given up after " + tookMs + " ms");
     }
 
+    @Test
+    void anIdWhoseNoticeIsStillOwedIsNotTakenAgain() throws IOException {
+        rig.noticeStatus = 503;
+        rig.first.script((request, connection) -> connection.reset());
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "once").status());
+        rig.await("its notice, which is not confirmed", () -> rig.noticed("m1", "undeliverable"));
+        assertEquals(409, rig.handIn("m1", "once").status());
+        assertEquals(1, rig.first.requests.size());
+    }
+
+    @Test
+    void aMessageWhoseClientIsGoneAtItsAnswerIsNotSent() throws IOException, Config.BadConfigException {
+        final Config config = rig.config();
+        final Clock clock = new Clock();
+        final EventLoopGroup group = new PatientLoopGroup(new DefaultThreadFactory("withdrawn"), NioIoHandler.newFactory());
+        final EventLoop loop = group.next();
+        final Host host = new Host(config, loop, clock);
+        loop.execute(() -> {
+            host.watchList();
+            try {
+                host.start(Journal.open(config.state(), config.diskBytes()));
+            } catch (final IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            host.offer(held("gone", clock), clock.nowUs() + LIFE_US, answered(() -> host.withdraw("gone")));
+            host.offer(held("stays", clock), clock.nowUs() + LIFE_US, answered(() -> { }));
+        });
+        rig.await("the other one's call", () -> rig.first.requests.size() == 1);
+        assertEquals(List.of("stays"), rig.first.requests.get(0).ids());
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static Held held(final String id, final Clock clock) {
+        return new Held(id, "safe", null, null, 7, clock.wallUs() + LIFE_US, new byte[0]);
+    }
+
+    /** A client to whom that happens as it is answered. */
+    private static Host.Reply answered(final Runnable then) {
+        return new Host.Reply() {
+            @Override
+            public void accepted() {
+                then.run();
+            }
+
+            @Override
+            public void refused(final int status, final long retryAfterUs) {
+                then.run();
+            }
+
+            @Override
+            public void failed() {
+                then.run();
+            }
+        };
+    }
+
     /** Keeps a crowd of idle connections open, each anew when it is closed, until it is told to stop. */
     private Thread crowd(final AtomicBoolean over) {
         final Thread thread = new Thread(() -> {
