Let the least time-outs follow a class's deadline and its window for repeats

Found by reading the fixed seconds against short settings: an attempt of a keyed class took 1 s at least, all of a window of 1 s, so a hung endpoint left no time for the repeat that the window is for; one of a repeatable class took 2 s, all of a deadline of 2 s; a call was overdue after 1 s, whatever its class.

Tests: ControlTest, two cases; both were seen to fail without this (1,000,000 us of a window of one second, 2,000,000 us of a deadline of two).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -65,6 +65,11 @@
     /** A time-out, in times what is expected, and at least so long, us: wide enough for a long tail. */
     private static final double TIMEOUT_TIMES = 8;
     private static final long TIMEOUT_LEAST_US = 2 * SECOND_US;
+    /** Share of a class's deadline that this takes at most, and an overdue call's least: room for tries. */
+    private static final double TIMEOUT_SHARE = 0.4;
+    private static final double OVERDUE_SHARE = 0.2;
+    /** What a repeat is left of its key's window, us, where that is long enough for both. */
+    private static final long AGAIN_US = SECOND_US / 2;
     /** After a time-out, the next ones are so many times as wide: it may have been slowness, not silence. */
     private static final double STRETCH = 3;
 
@@ -236,8 +241,7 @@
             node.inFlight++;
             node.lane.calls.add(call);
         }
-        call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(node.lane, job));
-        job.call = call;
+        call.carry(job, (long) expectedUs(node.lane, job));
         job.destination.waiting.remove(job);
     }
 
@@ -586,8 +590,7 @@
         final boolean alone = lane.phase == Phase.OUT;
         while (job != null) {
             call.messages++;
-            call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
-            job.call = call;
+            call.carry(job, (long) expectedUs(lane, job));
             job.attempts++;
             job.destination.waiting.remove(job);
             actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
@@ -883,15 +886,18 @@
     private long timeoutUs(final Lane lane, final Job job) {
         final double expectedUs = expectedUs(lane, job);
         final long leftUs = job.message.endUs() - nowUs;
-        long timeoutUs = (long) Math.max(TIMEOUT_LEAST_US, TIMEOUT_TIMES * lane.stretch * expectedUs);
+        final double leastUs = Math.min(TIMEOUT_LEAST_US, TIMEOUT_SHARE * job.kind.deadlineUs());
+        double timeoutUs = Math.max(leastUs, TIMEOUT_TIMES * lane.stretch * expectedUs);
         if (job.kind.effect() == Effect.UNSAFE) {
             return leftUs;
         }
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
-            final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
-            timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
+            // Leaves room for a repeat inside the window; where there is none for both, one call has it.
+            final double windowUs = (1 - KEY_MARGIN) * job.kind.keyWindowUs();
+            final double againUs = windowUs - Math.min(AGAIN_US, windowUs / 2);
+            timeoutUs = againUs < STOP_TIMES * expectedUs ? timeoutUs : Math.min(timeoutUs, againUs);
         }
-        return leftUs - timeoutUs < expectedUs ? leftUs : timeoutUs;
+        return leftUs - timeoutUs < expectedUs ? leftUs : (long) timeoutUs;
     }
 
     /** Looks for silence and ramps that are over; ends what may not be sent again, or has no time left. */
@@ -1183,12 +1189,18 @@
     private static final class Call {
         private Node node;
         private int messages;
-        private long sentUs, expectedUs, idleUs;
+        private long sentUs, expectedUs, idleUs, overdueLeastUs = OVERDUE_LEAST_US;
         private boolean calledOff;
         private final Set<Result> seen = EnumSet.noneOf(Result.class);
 
+        private void carry(final Job job, final long jobUs) {
+            expectedUs = Math.max(expectedUs, jobUs);
+            overdueLeastUs = (long) Math.min(overdueLeastUs, OVERDUE_SHARE * job.kind.deadlineUs());
+            job.call = this;
+        }
+
         private long overdueUs() {
-            return sentUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
+            return sentUs + Math.max(overdueLeastUs, (long) (OVERDUE_TIMES * expectedUs));
         }
     }
 
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -137,6 +137,32 @@
         assertTrue(scene.last("m").timeoutUs() <= 5500 * MS, "inside the window of six seconds");
     }
 
+    /** Settings with one class of that effect, deadline and window for repeats. */
+    private static Courier.Settings brief(final Courier.Effect effect, final long deadlineUs, final long windowUs) {
+        final Courier.Settings usual = Scene.settings();
+        return new Courier.Settings(usual.couriers(), usual.zone(), usual.listOnRequest(), usual.weights(), usual.fade(),
+                List.of(new Courier.MessageClass("brief", effect, false, false, 1, 0, deadlineUs / 5, deadlineUs, windowUs)),
+                usual.tenants(), usual.kinds(), usual.guarantees(), usual.limits());
+    }
+
+    @Test
+    void anAttemptLeavesRoomForARepeatInsideAShortWindow() {
+        final Scene brief = Scene.withTwoEndpoints(brief(Courier.Effect.KEYED, 2 * SECOND, SECOND));
+        brief.take("m", 0, null, 2 * SECOND);
+        final long timeoutUs = brief.last("m").timeoutUs();
+        assertTrue(timeoutUs <= SECOND / 2, "it takes " + timeoutUs + " us of a window of one second");
+        brief.pass(timeoutUs);
+        brief.end("m", Result.TIMED_OUT);
+        assertEquals(2, brief.count("m"), "the repeat goes inside the window");
+    }
+
+    @Test
+    void anAttemptLeavesRoomForARepeatInsideAShortDeadline() {
+        final Scene brief = Scene.withTwoEndpoints(brief(Courier.Effect.SAFE, 2 * SECOND, 0));
+        brief.take("m", 0, null, 2 * SECOND);
+        assertTrue(brief.last("m").timeoutUs() <= SECOND, "it takes " + brief.last("m").timeoutUs() + " us of two seconds");
+    }
+
     @Test
     void aZoneKeyedMessageThatMayHaveRunStaysInItsZoneAndIsNeverRefused() {
         scene.take("m", ZONED);
