Say it in the log when SIGHUP is ignored from outside

All six couriers lost their watch 1.5 s after moments that lie 0.4 s apart, as after the platform's SIGHUP, and never reached discovery again; none of their logs has a line on a reload.

Test: NodeTest, a start with the signal ignored; seen to fail without this line.

--- a/src/main/java/driftchute/node/HangUp.java
+++ b/src/main/java/driftchute/node/HangUp.java
@@ -28,8 +28,12 @@
             final Class<?> signal = Class.forName(SIGNAL);
             final Class<?> type = Class.forName(HANDLER);
             final Object proxy = Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler);
-            signal.getMethod("handle", signal, type)
+            final Object before = signal.getMethod("handle", signal, type)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            if (type.getField("SIG_IGN").get(null).equals(before)) {
+                // As under nohup: a JVM leaves a signal alone that it was started to ignore.
+                Log.info("SIGHUP is ignored by whoever started this courier: a new configuration will not be seen");
+            }
         } catch (final ReflectiveOperationException e) {
             Log.failure("SIGHUP cannot be handled and would end the courier", e);
         }
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -682,6 +682,13 @@
         assertTrue(rig.isAlive());
     }
 
+    @Test
+    void aStartThatIgnoresSighupIsSaid() throws IOException {
+        rig.before = "trap '' HUP";
+        rig.start();
+        assertTrue(rig.log.stream().anyMatch(line -> line.startsWith("SIGHUP is ignored")), rig.log.toString());
+    }
+
     @Test
     void aConfigurationThatCannotBeReadAtSighupChangesNothing() throws IOException, InterruptedException {
         rig.start();
