Take on no message for a destination that no list has ever named

Lines at fault: Intake.handIn took any destination that is a number. Such a message holds its place in the store until its time is up, and nobody can deliver it. It is now refused with 503 and a time to come again, which is harmless should a list be late; a destination stays known when its endpoints go, and before any list nothing is refused.

Test: NodeTest, seen to fail without this (202).

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -74,6 +74,8 @@
     private final ObjectMapper json = new ObjectMapper();
     private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
+    /** All that any list has named so far, also those that have no endpoint just now. */
+    private final Set<Long> destinations = new HashSet<>();
     private long nextId = 1;
     private long seq;
     private InetSocketAddress address;
@@ -158,6 +160,11 @@
         return entry == null ? "" : entry.zone();
     }
 
+    /** False for a destination that no list has ever named; before any list there is nothing to go by. */
+    boolean mayServe(final long destination) {
+        return destinations.isEmpty() || destinations.contains(destination);
+    }
+
     /** Keeps a watch by itself from now on: the list is pushed, so the decisions never ask for it. */
     void push() {
         pushed = true;
@@ -220,6 +227,7 @@
                 continue;
             }
             changed.add(entry);
+            destinations.add(entry.destination());
             gone.remove(entry.id());
             if (entry.condition() == Courier.Condition.GONE) {
                 gone.add(entry.id());
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -404,6 +404,11 @@
         return index == null ? null : config.settings().classes().get(index);
     }
 
+    /** False for a destination that cannot be one. */
+    boolean mayServe(final long destination) {
+        return discovery.mayServe(destination);
+    }
+
     /** True while a message of that id is owed its end. */
     boolean holds(final String id) {
         return messages.containsKey(id) || handedOn.contains(id) || journal != null && journal.holds(id);
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -70,6 +70,8 @@
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
     private static final long SPENT_RETRY_US = 500_000;
+    /** When a message for a destination that no list has named may come again: a list is some seconds late at most. */
+    private static final long UNKNOWN_RETRY_US = 2_000_000;
     /**
      * After the call for a drain new connections still come for some 0.3 s, and 4 s after it no connection may be held
      * idle: idle ones are closed once they have been so for this long, when a request hardly crosses the close.
@@ -538,6 +540,12 @@
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, SPENT_RETRY_US);
                 return;
             }
+            if (!host.mayServe(destination)) {
+                // Nobody could ever deliver it; should the list be late, handing it in again is harmless.
+                host.turnAway(kind.name());
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, UNKNOWN_RETRY_US);
+                return;
+            }
             currentId = id;
             host.offer(new Held(id, kind.name(), key, orderKey, destination, clock.wallUs() + lifeUs, request.body()),
                     clock.nowUs() + lifeUs, new Host.Reply() {
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -781,6 +781,21 @@
         rig.await("the good one", () -> idsAt(rig.first).equals(List.of("m1")));
     }
 
+    @Test
+    void aMessageForADestinationThatNoListHasNamedIsNotTakenOn() throws IOException {
+        rig.start();
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+        final String message = Rig.message("m1", "safe").replace("dest=7", "dest=70000");
+        final Rig.Answer refused = rig.send(message);
+        assertEquals(503, refused.status());
+        assertTrue(refused.head().contains("retry-after"), refused.head());
+        rig.change(42, Rig.host("e2", rig.second, "Ready").replace("\"block\":7", "\"block\":70000"));
+        rig.change(43, Rig.host("e2", rig.second, "Gone").replace("\"block\":7", "\"block\":70000"));
+        rig.await("the news", () -> rig.log.stream().anyMatch(line -> line.startsWith("the list at 43")));
+        assertEquals(202, rig.send(message).status(), "named once, it may have endpoints again");
+        assertEquals(0, rig.first.requests.size());
+    }
+
     @Test
     void theLargestBodyIsTaken() throws IOException {
         rig.start();
