In a large fleet, read two failed calls in a row as an outage: three times the fleet tipped it

What was seen: a simulated fleet of the module over one destination (uneven traffic, the outage seen at different times, down for 3 to 12 s, refusing or hung, seven in ten couriers restarted just before its return, the list's limit half to one and a half times the true one). In the worst spans each courier had sent two to four calls: those that it makes before its lane is out.

Line at fault: suspect(lane, 1) with OUT_WEIGHT 3: three failures a courier, times the fleet.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -108,6 +108,8 @@
     private static final double LEAST_RATE = 0.25;
     /** An endpoint that failed is left alone so long, us; after that its failures in a row count as calls. */
     private static final long AVOID_US = SECOND_US;
+    /** A failure's weight in a large fleet: what each sends before it is sure of an outage comes times it. */
+    private static final double FLEET_FAILURE_WEIGHT = 1.5;
     /** Share by which gaps are drawn longer or shorter, so that couriers do not keep step. */
     private static final double JITTER = 0.2;
 
@@ -771,7 +773,7 @@
                 node.connections = Math.max(0, node.connections - 1);
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
                     lane.failShare += FAIL_WEIGHT * (1 - lane.failShare);
-                    suspect(lane, 1);
+                    suspect(lane, settings.couriers() > FEW_COURIERS ? FLEET_FAILURE_WEIGHT : 1);
                 }
             }
             case NOT_SENT -> lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
