--- /dev/null
+++ b/src/test/java/driftchute/node/StartCrossingsTest.java
@@ -0,0 +1,79 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A start with much to take up: what is due at once, what was never tried, and a discovery that is silent. */
+@Timeout(120)
+final class StartCrossingsTest {
+    private static final long READY_MS = 10_000;
+    private static final long DISK_BYTES = 3_000_000;
+    private static final int EACH = 300;
+
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+        rig.maxOpen = 2 * EACH;
+        rig.discovery = "pushed";
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    /** Leaves messages as a process that was killed would: taken on, and never sent. */
+    private void hold(final String prefix, final long leftMs) throws IOException {
+        try (Journal journal = Journal.open(folder.resolve("state"), DISK_BYTES)) {
+            final long validUntilUs = (System.currentTimeMillis() + leftMs) * 1000;
+            for (int count = 0; count < EACH; count++) {
+                assertTrue(journal.take(new Held(prefix + count, "safe", null, null, 7, validUntilUs, new byte[800])));
+            }
+        }
+    }
+
+    private static Set<String> all(final String prefix) {
+        return IntStream.range(0, EACH).mapToObj(count -> prefix + count).collect(Collectors.toSet());
+    }
+
+    private Set<String> called() {
+        return rig.first.requests.stream().flatMap(request -> request.ids().stream()).collect(Collectors.toSet());
+    }
+
+    @Test
+    void aFullJournalAndASilentDiscoveryDoNotKeepItFromItsClients() throws IOException {
+        rig.news = "";
+        hold("late", -1000);
+        hold("held", 15_000);
+        final long fromNs = System.nanoTime();
+        rig.start();
+        final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - fromNs);
+        assertTrue(tookMs < READY_MS, "ready after " + tookMs + " ms");
+        assertEquals(202, rig.handIn("new", "safe").status());
+        rig.await("an end for each whose time is up", () -> all("late").stream()
+                .allMatch(id -> rig.noticed(id, "deferred")));
+        rig.await("a call for each that was never tried", () -> called().containsAll(all("held")));
+        final Set<String> again = new HashSet<>(called());
+        again.retainAll(all("late"));
+        assertEquals(Set.of(), again, "what is over is not sent");
+        assertEquals(List.of(), rig.notices.stream().filter(line -> line.contains("\"held")).toList());
+    }
+}
