--- a/src/test/java/driftchute/node/ShutdownCrossingsTest.java
+++ b/src/test/java/driftchute/node/ShutdownCrossingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -151,6 +152,14 @@
         rig.await("the call", () -> delivered().contains("m1"));
     }
 
+    /** The program sets it nowhere: each of its sockets, made or accepted, is one of these. */
+    @Test
+    void noSocketHoldsSmallWritesBack() {
+        final NioSocketChannel channel = new NioSocketChannel();
+        assertTrue(channel.config().isTcpNoDelay());
+        channel.unsafe().closeForcibly();
+    }
+
     @Test
     void aRequestThatComesBehindOurEndIsNotTakenOn() throws IOException, InterruptedException {
         rig.start();
