--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -40,9 +40,11 @@
     private static final double WINDOW_FLOOR = 1;
     /** A new lane's window, calls: one slow answer may not block it; in a large fleet clumps come first. */
     private static final double WINDOW_START = 2;
+
     private static final double WINDOW_RARE = 4;
     /** Shares of the slots that one lane may hold, healthy and sick: the design's. */
     private static final double HEALTHY_SHARE = 0.75;
+
     private static final double SICK_SHARE = 0.5;
     /** A share, nearer High than Medium: an input above it makes a lane sick for a step. */
     private static final double SLOW_INPUT = 0.75;
@@ -60,14 +62,17 @@
     private static final double PACE_LEAST = 0.1;
     /** A call is overdue after so many times what is expected (one in 150, by chance), and so long, us. */
     private static final double OVERDUE_TIMES = 5;
+
     private static final long OVERDUE_LEAST_US = SECOND_US;
     /** A call begun before a stop has so many times what is expected left (chance cuts off one in seven). */
     private static final double STOP_TIMES = 2;
     /** A time-out, in times what is expected, and at least so long, us: wide enough for a long tail. */
     private static final double TIMEOUT_TIMES = 8;
+
     private static final long TIMEOUT_LEAST_US = 2 * SECOND_US;
     /** Share of a class's deadline that this takes at most, and an overdue call's least: room for tries. */
     private static final double TIMEOUT_SHARE = 0.4;
+
     private static final double OVERDUE_SHARE = 0.2;
     /** What a repeat is left of its key's window, us, where that is long enough for both. */
     private static final long AGAIN_US = SECOND_US / 2;
@@ -79,11 +84,13 @@
     private static final long PAUSE_US = SECOND_US / 2;
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2;
+
     private static final double SPACING_LEAST = 0.5;
     /** Of so many couriers each may add that much; more of them share what these may add together. */
     private static final double SPACING_COURIERS = 3;
     /** Even parts of a reported limit for one courier: with nothing left, and how many more with all left. */
     private static final double PART_LEAST = 0.85;
+
     private static final double PART_GROWTH = 6;
     /** How sharply: near the middle little, so that they do not swing with news that is a second old. */
     private static final double PART_POWER = 4;
@@ -91,6 +98,7 @@
     private static final double REFILL = 2;
     /** With more of a limit left, spacing gives way by so many times a second: one of few would swing it. */
     private static final double LEFT_HIGH = 0.8;
+
     private static final double SPACING_GONE = 2;
     /** Least share of the list's rough figure that a reported limit can be: lowered ones are about half. */
     private static final double LEAST_LIMIT = 0.02;
@@ -98,14 +106,17 @@
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
     private static final double REFUSED_WEIGHT = 0.5;
+
     private static final double ERROR_WEIGHT = 0.4;
     /** A run of this weight without success is an outage; so is this share of failures: most, and chance. */
     private static final double OUT_WEIGHT = 3;
+
     private static final double OUT_SHARE = 0.6;
     /** Weight of a call in that share: about eight calls of memory. */
     private static final double FAIL_WEIGHT = 0.12;
     /** Messages a second: a limit where none is told (a default); least rate at which a line is reckoned. */
     private static final double UNTOLD_LIMIT = 1;
+
     private static final double LEAST_RATE = 0.25;
     /** An endpoint that failed is left alone so long, us; after that its failures in a row count as calls. */
     private static final long AVOID_US = SECOND_US;
@@ -117,19 +128,23 @@
     // Choice.
     /** What a handshake and a crossing of zones weigh in the choice of an endpoint, in calls in flight. */
     private static final double HANDSHAKE_LOAD = 0.8;
+
     private static final double CROSS_LOAD = 0.6;
     /** Chance that a message put off is served after all, in a short line; half of it in a long one. */
     private static final double KEPT = 0.9;
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
     private static final long HORIZON_LEAST_US = SECOND_US;
+
     private static final long HORIZON_MOST_US = 10 * SECOND_US;
     /** Share of worth beyond a quota, of which we see a part; messages in a burst that chance may bring. */
     private static final double OVER_QUOTA = 0.25;
+
     private static final double QUOTA_BURST = 10;
     /** Share of the store that is kept free by refusing what has least to gain: the door refuses blindly. */
     private static final double STORE_RESERVE = 0.05;
     /** A message ends so long before its time, us: two rounds; share of a key's window not used: clocks. */
     private static final long END_MARGIN_US = 12_000;
+
     private static final double KEY_MARGIN = 0.05;
     /** Growth a second of the idle time that connections are trusted to bear: a minute trebles it. */
     private static final double TRUST_GROWTH = 1.02;
@@ -139,12 +154,15 @@
     private static final int FEW_COURIERS = 6;
     /** How long a connection may wait for its next use, us; and where there is no room, in calls' time. */
     private static final double REUSE_US = 5 * SECOND_US;
+
     private static final double REUSE_CALLS = 2;
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
     private static final long ASK_LEAST_US = SECOND_US / 2;
+
     private static final long ASK_MOST_US = 3 * SECOND_US;
     /** How soon a message that an endpoint or a key holds back is looked at again, us. */
     private static final long POLL_US = 20_000;
+
     private static final long NEVER = LaneState.NEVER;
 
     private final Settings settings;
@@ -155,6 +173,7 @@
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     /** Destinations with messages: all that a decision looks at, however long the list is. */
     private final Map<Long, Destination> busy = new TreeMap<>();
+
     private final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, KeyLine> keys = new LinkedHashMap<>();
@@ -175,7 +194,9 @@
         this.guarantees = settings.guarantees();
         this.actions = actions;
         this.random = new Random(seed);
-        this.classMeanUs = settings.classes().stream().mapToDouble(k -> UNSEEN_SHARE * k.aimUs()).toArray();
+        this.classMeanUs = settings.classes().stream()
+                .mapToDouble(k -> UNSEEN_SHARE * k.aimUs())
+                .toArray();
         this.classSamples = new int[classMeanUs.length];
         this.trustUs = limits.idleCloseUs();
         this.quotaUs = new long[settings.tenants().size()];
@@ -239,8 +260,11 @@
 
     /** A call of the process before this one holds slot and place; messages sent at once share one. */
     private void goesOn(final Job job, final Node node, final long sentUs) {
-        final Call call = node.lane.calls.stream().filter(one -> one.node == node && one.sentUs == sentUs
-                && one.messages < node.lane.kind.messagesPerCall()).findFirst().orElseGet(Call::new);
+        final int most = node.lane.kind.messagesPerCall();
+        final Call call = node.lane.calls.stream()
+                .filter(one -> one.node == node && one.sentUs == sentUs && one.messages < most)
+                .findFirst()
+                .orElseGet(Call::new);
         if (call.messages++ == 0) {
             call.node = node;
             call.sentUs = sentUs;
@@ -293,8 +317,10 @@
         lane.readFrom(standing.figures(), times);
         for (int kind = 0; kind < classMeanUs.length; kind++) {
             classMeanUs[kind] = standing.figures().getOrDefault("mean." + kind, classMeanUs[kind]);
-            classSamples[kind] = standing.figures().getOrDefault("samples." + kind, 0.0).intValue();
-            node.badRun[kind] = standing.figures().getOrDefault("bad." + kind, 0.0).intValue();
+            classSamples[kind] =
+                    standing.figures().getOrDefault("samples." + kind, 0.0).intValue();
+            node.badRun[kind] =
+                    standing.figures().getOrDefault("bad." + kind, 0.0).intValue();
             node.avoidUntilUs[kind] = times.getOrDefault("avoid." + kind, 0L);
         }
     }
@@ -396,16 +422,25 @@
 
     @Override
     public int avoided(final long now) {
-        return (int) nodes.values().stream().filter(node -> node.condition != Condition.GONE)
-                .filter(node -> node.out || node.lane.phase == Phase.OUT
-                        || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> untilUs > now)).count();
+        return (int) nodes.values().stream()
+                .filter(node -> node.condition != Condition.GONE)
+                .filter(node -> node.out
+                        || node.lane.phase == Phase.OUT
+                        || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> untilUs > now))
+                .count();
     }
 
     private String describe(final Lane lane) {
         final String state = "; " + lane.kind.name() + " " + lane.phase + (lane.slow ? " slow" : "") + " out "
                 + lane.calls.size() + "/" + cap(lane);
-        final String figures = String.format(Locale.ROOT, " window %.1f rate %.1f spacing %.1f told %.1f pace %.2f",
-                lane.window, lane.rate, lane.spacing, lane.told, lane.pace);
+        final String figures = String.format(
+                Locale.ROOT,
+                " window %.1f rate %.1f spacing %.1f told %.1f pace %.2f",
+                lane.window,
+                lane.rate,
+                lane.spacing,
+                lane.told,
+                lane.pace);
         final long trialMs = lane.phase == Phase.OUT ? aheadMs(lane.nextTrialUs) : 0;
         return state + figures + " wait " + aheadMs(lane.waitUntilUs) + " pause " + aheadMs(lane.pauseUntilUs)
                 + " trial " + trialMs + " ms";
@@ -448,11 +483,13 @@
         }
         final boolean exact = (settings.weights() == Weights.NOMINAL || lane.reported) && lane.told > 0;
         final double rate = exact ? Math.min(part(lane), lane.spacing) : lane.spacing;
-        final long guardUs = switch (lane.phase) {
-            case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
-            case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
-            case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs / tippingShare(nowUs - lane.rampFromUs));
-        };
+        final double rampShare = tippingShare(nowUs - lane.rampFromUs);
+        final long guardUs =
+                switch (lane.phase) {
+                    case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
+                    case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
+                    case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs / rampShare);
+                };
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
 
@@ -479,12 +516,16 @@
         double bestUrgency = 0;
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
-            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
+            if (!inTurn(job)
+                    || !endsInTime(lane, job)
+                    || node == null && choose(lane, job) == null
                     || node != null && !zoneAllows(job, node)) {
                 continue;
             }
             final double urgency = urgency(lane, job, lineUs);
-            final int risk = lane.phase != Phase.OUT || job.mayHaveRun ? 0 : 1 + job.kind.effect().ordinal();
+            final int risk = lane.phase != Phase.OUT || job.mayHaveRun
+                    ? 0
+                    : 1 + job.kind.effect().ordinal();
             if (best == null || risk < bestRisk || risk == bestRisk && urgency > bestUrgency) {
                 best = job;
                 bestRisk = risk;
@@ -513,9 +554,12 @@
         }
         final double full = kind.worth() * (job.overQuota ? OVER_QUOTA : 1);
         final long lateUs = Math.max(0, atUs - job.aimUs);
-        return full * (settings.fade() == Fade.HALVING
-                ? Math.max(kind.lateWorth(), Math.pow(0.5, (double) lateUs / Math.max(1, kind.aimUs())))
-                : 1 - (1 - kind.lateWorth()) * lateUs / Math.max(1, kind.deadlineUs() - kind.aimUs()));
+        if (settings.fade() == Fade.HALVING) {
+            final double halvings = (double) lateUs / Math.max(1, kind.aimUs());
+            return full * Math.max(kind.lateWorth(), Math.pow(0.5, halvings));
+        }
+        final long fadeUs = Math.max(1, kind.deadlineUs() - kind.aimUs());
+        return full * (1 - (1 - kind.lateWorth()) * lateUs / fadeUs);
     }
 
     /** The best endpoint of a lane for a message now, or null. */
@@ -524,7 +568,9 @@
         double bestLoad = 0;
         final int kind = job.message.messageClass();
         for (final Node node : lane.nodes) {
-            if (node.condition != Condition.LISTED || node.out || coldUntilUs(node) > nowUs
+            if (node.condition != Condition.LISTED
+                    || node.out
+                    || coldUntilUs(node) > nowUs
                     || !zoneAllows(job, node)
                     || lane.phase == Phase.WELL && nowUs < node.avoidUntilUs[kind]) {
                 continue;
@@ -532,8 +578,8 @@
             final boolean handshake = node.inFlight >= node.connections * limits.multiplex()
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= limits.idleCloseUs();
             final boolean cross = !node.entry.zone().equals(settings.zone());
-            final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
-                    + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
+            final double near = node.inFlight + node.badRun[kind] + (handshake ? HANDSHAKE_LOAD : 0);
+            final double load = lane.phase == Phase.OUT ? node.lastSendUs : near + (cross ? CROSS_LOAD : 0);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -545,8 +591,11 @@
     /** Until when an endpoint that was put back gets nothing more: it is cold, and may not be tipped. */
     private long coldUntilUs(final Node node) {
         final long sinceUs = nowUs - node.backUs;
-        return node.backUs == 0 || sinceUs > guarantees.coldUs() ? 0 : node.lastSendUs
-                + (long) (apartUs(node.lane) * node.lane.nodes.size() / tippingShare(sinceUs));
+        if (node.backUs == 0 || sinceUs > guarantees.coldUs()) {
+            return 0;
+        }
+        final double apartUs = apartUs(node.lane) * node.lane.nodes.size();
+        return node.lastSendUs + (long) (apartUs / tippingShare(sinceUs));
     }
 
     /** False where an earlier attempt may have run and this endpoint would not know the repeat. */
@@ -556,14 +605,15 @@
 
     /** Rule on order: the first of its key goes, and only after the rest that an open attempt asks for. */
     private boolean inTurn(final Job job) {
-        return job.line == null || job.line.ids.get(0).equals(job.message.id())
-                && (job.mayHaveRun || job.line.restUntilUs <= nowUs);
+        final KeyLine line = job.line;
+        return line == null
+                || line.ids.get(0).equals(job.message.id()) && (job.mayHaveRun || line.restUntilUs <= nowUs);
     }
 
     /** False for a call that the end of this process would likely cut off: the next one may send it. */
     private boolean endsInTime(final Lane lane, final Job job) {
-        return stopUs == NEVER || nowUs + (job.kind.effect() == Effect.UNSAFE
-                ? OVERDUE_TIMES : STOP_TIMES) * expectedUs(lane, job) < stopUs;
+        final double times = job.kind.effect() == Effect.UNSAFE ? OVERDUE_TIMES : STOP_TIMES;
+        return stopUs == NEVER || nowUs + times * expectedUs(lane, job) < stopUs;
     }
 
     /** Sends a message and, where calls are shared, those that wait with it. */
@@ -618,8 +668,8 @@
      */
     private void shareConnections(final Node node, final Call call) {
         final double reachUs = nowUs < node.fullUntilUs ? REUSE_CALLS * call.expectedUs : REUSE_US;
-        if (settings.couriers() > FEW_COURIERS
-                && node.lane.rate * reachUs / SECOND_US < node.lane.nodes.size()) {
+        final boolean many = settings.couriers() > FEW_COURIERS;
+        if (many && node.lane.rate * reachUs / SECOND_US < node.lane.nodes.size()) {
             node.connections = 0;
             actions.closeIdle(node.entry.id());
         }
@@ -648,7 +698,9 @@
             }
             final double change = Math.max(bad == 0 ? 0 : -1, tableOne(latency, clamp(refusal, 0, 1)));
             if (change < 0 || lane.peak >= USED_SHARE * Math.floor(lane.window)) {
-                lane.window = clamp(lane.window * (1 + change), WINDOW_FLOOR,
+                lane.window = clamp(
+                        lane.window * (1 + change),
+                        WINDOW_FLOOR,
                         Math.max(1, Math.floor(HEALTHY_SHARE * limits.slots())));
             }
             lane.slow = latency > SLOW_INPUT || refusal > SLOW_INPUT;
@@ -664,6 +716,7 @@
 
     /** Table I, rows by latency, columns by refusals, each Low, Medium, High: places in the outputs. */
     private static final double[] OUTPUTS = {0.4, 0.2, 0, -0.2, -0.4, -0.6};
+
     private static final int[][] TABLE_ONE = {{0, 1, 3}, {1, 2, 4}, {3, 4, 5}};
 
     /** The paper's Mamdani controller: triangles, min for AND, max for an output's rules, central average. */
@@ -709,23 +762,7 @@
         // A wait may stand in any answer, also one that delivers some of a call's messages.
         wait(lane, outcome.waitUs());
         switch (outcome.result()) {
-            case DELIVERED -> {
-                learn(lane, job, outcome.durationUs());
-                lane.served++;
-                node.lastServedUs = nowUs;
-                node.badRun[kind] = 0;
-                node.avoidUntilUs[kind] = 0;
-                lane.badRun = 0;
-                lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
-                lane.failShare -= FAIL_WEIGHT * lane.failShare;
-                if (lane.phase == Phase.OUT) {
-                    lane.phase = Phase.RAMP;
-                    lane.rampFromUs = nowUs;
-                    lane.rampSpanUs = patienceUs(lane, nowUs);
-                    lane.failShare = 0;
-                }
-                lane.troubleFromUs = NEVER;
-            }
+            case DELIVERED -> succeed(node, job, outcome.durationUs());
             case REFUSED -> {
                 lane.bad++;
                 lane.refused++;
@@ -776,6 +813,27 @@
         }
     }
 
+    /** A message was delivered: trouble at its destination is over, and an outage turns into a ramp. */
+    private void succeed(final Node node, final Job job, final long durationUs) {
+        final Lane lane = node.lane;
+        final int kind = job.message.messageClass();
+        learn(lane, job, durationUs);
+        lane.served++;
+        node.lastServedUs = nowUs;
+        node.badRun[kind] = 0;
+        node.avoidUntilUs[kind] = 0;
+        lane.badRun = 0;
+        lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
+        lane.failShare -= FAIL_WEIGHT * lane.failShare;
+        if (lane.phase == Phase.OUT) {
+            lane.phase = Phase.RAMP;
+            lane.rampFromUs = nowUs;
+            lane.rampSpanUs = patienceUs(lane, nowUs);
+            lane.failShare = 0;
+        }
+        lane.troubleFromUs = NEVER;
+    }
+
     /** False for a limit far under the list's, or none where there was one: it would end or flood a lane. */
     private static boolean plausible(final Lane lane, final double limit) {
         return limit > 0 ? limit >= LEAST_LIMIT * lane.listed : !lane.reported || lane.told <= 0;
@@ -816,10 +874,12 @@
         }
         final Job worst = jobs.values().stream()
                 .filter(job -> job.call != null && !job.call.calledOff && nowUs >= job.call.overdueUs())
-                .min(Comparator.comparingLong(job -> job.call.sentUs)).orElse(null);
+                .min(Comparator.comparingLong(job -> job.call.sentUs))
+                .orElse(null);
         if (worst != null && best(false) != null) {
             worst.call.calledOff = true;
-            jobs.values().stream().filter(job -> job.call == worst.call)
+            jobs.values().stream()
+                    .filter(job -> job.call == worst.call)
                     .forEach(job -> actions.cancel(job.message.id(), job.attempts - 1));
         }
     }
@@ -924,12 +984,14 @@
     /** Rule on effects, and the most attempts. */
     private boolean maySend(final Job job) {
         final Effect effect = job.kind.effect();
-        return job.attempts < limits.mostAttempts() && (!job.mayHaveRun || effect == Effect.SAFE
-                || effect == Effect.KEYED && nowUs < job.keyEndUs());
+        final boolean remembered = effect == Effect.KEYED && nowUs < job.keyEndUs();
+        final boolean harmless = !job.mayHaveRun || effect == Effect.SAFE || remembered;
+        return harmless && job.attempts < limits.mostAttempts();
     }
 
     private static boolean mayRefuse(final Job job) {
-        return !job.mayHaveRun || job.kind.effect() == Effect.SAFE
+        return !job.mayHaveRun
+                || job.kind.effect() == Effect.SAFE
                 || job.kind.effect() == Effect.KEYED && !job.kind.zoneKeyed();
     }
 
@@ -962,9 +1024,11 @@
     private void makeRoom() {
         final int reserve = (int) Math.max(1, STORE_RESERVE * limits.maxOpen());
         while (open > limits.maxOpen() - reserve) {
-            final Job least = busy.values().stream().flatMap(destination -> destination.waiting.stream())
-                    .filter(Control::mayRefuse).min(Comparator.comparingDouble(job -> worth(job,
-                    Math.min(nowUs + job.destination.lineUs(), job.keyEndUs() - 1)))).orElse(null);
+            final Job least = busy.values().stream()
+                    .flatMap(destination -> destination.waiting.stream())
+                    .filter(Control::mayRefuse)
+                    .min(Comparator.comparingDouble(this::worthInLine))
+                    .orElse(null);
             if (least == null) {
                 return;
             }
@@ -972,6 +1036,11 @@
         }
     }
 
+    /** The worth of a message that is delivered when the line of its destination has gone. */
+    private double worthInLine(final Job job) {
+        return worth(job, Math.min(nowUs + job.destination.lineUs(), job.keyEndUs() - 1));
+    }
+
     /** Meters a tenant at this courier's even part of its quota; true for a message beyond it. */
     private boolean overQuota(final int tenant) {
         final double whole = tenant < 0 ? 0 : settings.tenants().get(tenant).quotaPerSecond();
@@ -1038,8 +1107,11 @@
             }
         }
         // A route apart is never forgotten: listed again, it still has its wait and its outage.
-        nodes.values().removeIf(node -> node.condition == Condition.GONE && node.inFlight == 0
-                && !node.lane.kind.routesApart() && node.lane.nodes.remove(node));
+        nodes.values()
+                .removeIf(node -> node.condition == Condition.GONE
+                        && node.inFlight == 0
+                        && !node.lane.kind.routesApart()
+                        && node.lane.nodes.remove(node));
     }
 
     @Override
@@ -1060,7 +1132,8 @@
 
     private Lane lane(final Endpoint entry) {
         final Destination destination = destination(entry.destination());
-        final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
+        final Kind kind =
+                entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
             final boolean few = settings.couriers() <= FEW_COURIERS;
             destination.lanes.add(new Lane(kind, few ? WINDOW_START : WINDOW_RARE));
@@ -1092,7 +1165,8 @@
 
         /** How long its line takes at the rate that it was served, us. */
         private long lineUs() {
-            final double rate = Math.max(LEAST_RATE, lanes.stream().mapToDouble(lane -> lane.rate).sum());
+            final double rate = Math.max(
+                    LEAST_RATE, lanes.stream().mapToDouble(lane -> lane.rate).sum());
             return (long) (waiting.size() / rate * SECOND_US);
         }
     }
@@ -1104,12 +1178,14 @@
         private final List<Call> calls = new ArrayList<>();
         /** This step's counts and sum of latency ratios. */
         private int peak, refused, served, bad, errors;
+
         private double ratioSum;
         private Allowance allowance;
         /** The list's figure for the limit. */
         private double listed;
         /** The share of that limit that was left when last reported, and when. */
         private double left = 1;
+
         private long leftAtUs;
 
         private Lane(final Kind kind, final double window) {
@@ -1125,13 +1201,16 @@
         private Condition condition;
         /** Taken out by hand; and since when it is back, 0 if it never was out. */
         private boolean out;
+
         private long backUs;
         private int inFlight, connections;
         /** Failures in a row of each class, and until when that class goes elsewhere. */
         private final int[] badRun;
+
         private final long[] avoidUntilUs;
         /** Until when it is taken to have no room for idle connections. */
         private long fullUntilUs;
+
         private long lastUseUs, lastSendUs, lastServedUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
@@ -1171,6 +1250,7 @@
         private Call call;
         /** Where it may go, and how urgently, when last looked at. */
         private Lane lane;
+
         private double urgency;
         private int attempts;
         private boolean overQuota, mayHaveRun, over;
@@ -1186,7 +1266,8 @@
         /** Until when it may be sent: a key that may be in use ends a message like its own deadline does. */
         private long keyEndUs() {
             final long windowUs = (long) ((1 - KEY_MARGIN) * kind.keyWindowUs());
-            return !mayHaveRun || kind.effect() != Effect.KEYED ? message.validUntilUs()
+            return !mayHaveRun || kind.effect() != Effect.KEYED
+                    ? message.validUntilUs()
                     : Math.min(message.validUntilUs(), firstRunUs + windowUs);
         }
     }
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -11,17 +11,35 @@
 public interface Courier {
 
     /** What a repeat of a message does: nothing new, nothing new while the key is remembered, or harm. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** How worth falls between the aim and the deadline. */
-    enum Fade { LINEAR, HALVING }
+    enum Fade {
+        LINEAR,
+        HALVING
+    }
 
     /** What an endpoint's weight tells of its destination's limit. */
-    enum Weights { NONE, NOMINAL, ROUGH }
+    enum Weights {
+        NONE,
+        NOMINAL,
+        ROUGH
+    }
 
     /** How an attempt ended. */
     enum Result {
-        DELIVERED, ERROR, REFUSED, TIMED_OUT, NO_CONNECTION, RESET, CANCELLED, NOT_SENT;
+        DELIVERED,
+        ERROR,
+        REFUSED,
+        TIMED_OUT,
+        NO_CONNECTION,
+        RESET,
+        CANCELLED,
+        NOT_SENT;
 
         /** True if the message certainly had no effect, so that another attempt is harmless. */
         public boolean neverRan() {
@@ -35,32 +53,63 @@
     }
 
     /** An endpoint's state in the list; the list knows nothing of health. */
-    enum Condition { LISTED, DRAINING, GONE }
+    enum Condition {
+        LISTED,
+        DRAINING,
+        GONE
+    }
 
     /** What an update of the list holds: changed entries, all, the last list known, or no news at all. */
-    enum Update { CHANGES, WHOLE, RESTORED, LOST }
+    enum Update {
+        CHANGES,
+        WHOLE,
+        RESTORED,
+        LOST
+    }
 
     /** A class of message. {@code zoneKeyed}: only endpoints of one zone drop each other's repeats. */
-    record MessageClass(String name, Effect effect, boolean zoneKeyed, boolean inTurn, double worth,
-                        double lateWorth, long aimUs, long deadlineUs, long keyWindowUs) { }
+    record MessageClass(
+            String name,
+            Effect effect,
+            boolean zoneKeyed,
+            boolean inTurn,
+            double worth,
+            double lateWorth,
+            long aimUs,
+            long deadlineUs,
+            long keyWindowUs) {}
 
     /** A tenant and the messages a second, over all couriers, that are worth their full worth. */
-    record Tenant(String name, double quotaPerSecond) { }
+    record Tenant(String name, double quotaPerSecond) {}
 
     /** A kind of destination. */
-    record Kind(String name, boolean routesApart, int messagesPerCall) { }
+    record Kind(String name, boolean routesApart, int messagesPerCall) {}
 
     /** The figures of the rules. */
-    record Guarantees(long mustAskUs, double coldFrom, long coldUs, double tipMultiple, long orderSettleUs) { }
+    record Guarantees(long mustAskUs, double coldFrom, long coldUs, double tipMultiple, long orderSettleUs) {}
 
     /** What this courier may use. */
-    record Limits(int slots, int maxOpen, int mostAttempts, boolean mayCancel, long idleCloseUs, int multiplex,
-                  long maxRetryAfterUs) { }
+    record Limits(
+            int slots,
+            int maxOpen,
+            int mostAttempts,
+            boolean mayCancel,
+            long idleCloseUs,
+            int multiplex,
+            long maxRetryAfterUs) {}
 
     /** Everything a courier is handed at its start. */
-    record Settings(int couriers, String zone, boolean listOnRequest, Weights weights, Fade fade,
-                    List<MessageClass> classes, List<Tenant> tenants, List<Kind> kinds, Guarantees guarantees,
-                    Limits limits) {
+    record Settings(
+            int couriers,
+            String zone,
+            boolean listOnRequest,
+            Weights weights,
+            Fade fade,
+            List<MessageClass> classes,
+            List<Tenant> tenants,
+            List<Kind> kinds,
+            Guarantees guarantees,
+            Limits limits) {
         /** Refuses settings that contradict themselves, so that a host learns of it at its start. */
         public Settings {
             require(couriers >= 1, "a fleet has at least one courier, not " + couriers);
@@ -81,17 +130,23 @@
     }
 
     /** An endpoint as the list names it; {@code kind} is an index into the settings, or -1. */
-    record Endpoint(long id, Condition condition, String zone, double weight, int kind, long destination) { }
+    record Endpoint(long id, Condition condition, String zone, double weight, int kind, long destination) {}
 
     /**
-     * A message taken; {@code messageClass} and {@code tenant} index the settings, tenant -1 if none. {@code slackUs}: it
+     * A message taken; {@code messageClass} and {@code tenant} index the settings, tenant -1 if none. {@code slackUs}:
+     * it
      * may be so much older than its host can tell; its end must be in time all the same.
      */
-    record Message(String id, int messageClass, int tenant, String key, long validUntilUs, long destination,
-                   long slackUs) {
+    record Message(
+            String id, int messageClass, int tenant, String key, long validUntilUs, long destination, long slackUs) {
         /** Of an age that is known. */
-        public Message(final String id, final int messageClass, final int tenant, final String key,
-                       final long validUntilUs, final long destination) {
+        public Message(
+                final String id,
+                final int messageClass,
+                final int tenant,
+                final String key,
+                final long validUntilUs,
+                final long destination) {
             this(id, messageClass, tenant, key, validUntilUs, destination, 0);
         }
 
@@ -113,20 +168,26 @@
     }
 
     /** A call of an earlier process that still goes on, to that endpoint; its outcome comes as any other's. */
-    record Out(long endpoint, long sentUs) { }
+    record Out(long endpoint, long sentUs) {}
 
     /** How an endpoint and its destination stand with a process that leaves, by name; times are the clock's. */
-    record Standing(Map<String, Double> figures, Map<String, Long> timesUs) { }
+    record Standing(Map<String, Double> figures, Map<String, Long> timesUs) {}
 
     /** What a destination told of its limit: the share left, and calls a second (0: no limit). */
-    record Allowance(double shareLeft, double callsPerSecond) { }
+    record Allowance(double shareLeft, double callsPerSecond) {}
 
     /**
      * The outcome of an attempt. {@code over}: the message has its final answer. {@code waitUs}: the wait told
      * with the answer, or 0. {@code allowance}: null if nothing was told.
      */
-    record Outcome(String messageId, Result result, boolean over, long endpoint, long durationUs, long waitUs,
-                   Allowance allowance) { }
+    record Outcome(
+            String messageId,
+            Result result,
+            boolean over,
+            long endpoint,
+            long durationUs,
+            long waitUs,
+            Allowance allowance) {}
 
     /** What a courier may ask of its host. */
     interface Actions {
--- a/src/main/java/driftchute/LaneState.java
+++ b/src/main/java/driftchute/LaneState.java
@@ -12,13 +12,20 @@
     static final long NEVER = Long.MAX_VALUE;
 
     /** Whether calls are made freely, as single trials, or at the pace that a cold destination bears. */
-    enum Phase { WELL, OUT, RAMP }
+    enum Phase {
+        WELL,
+        OUT,
+        RAMP
+    }
 
     /** Most calls in flight. */
     double window;
     /** Steps seen, and service times seen. */
     int steps, paceSamples;
-    /** Slow averages: messages served a second, step means, service time against other lanes; and the time-outs' stretch. */
+    /**
+     * Slow averages: messages served a second, step means, service time against other lanes; and the time-outs'
+     * stretch.
+     */
     double rate, slowRatio = 1, pace = 1, stretch = 1;
     /** The limit told (0: none), and the sends allowed now, both a second. */
     double told, spacing = Double.POSITIVE_INFINITY;
@@ -26,6 +33,7 @@
     boolean slow;
     /** The limit told came with an answer, and is exact where the list's may be rough. */
     boolean reported;
+
     Phase phase = Phase.WELL;
     /** Weight of the bad outcomes in a row, and the share of failures. */
     double badRun, failShare;
--- a/src/main/java/driftchute/bench/Adapter.java
+++ b/src/main/java/driftchute/bench/Adapter.java
@@ -105,16 +105,17 @@
         if (host == null) {
             throw fields.malformed("'" + fields.tag() + "' for an instance that was never enlisted");
         }
-        final Runnable event = switch (fields.tag()) {
-            case "endpoints" -> list(host, fields);
-            case "incoming" -> message(host, fields);
-            case "returned" -> outcome(host, fields);
-            case "expired" -> {
-                final String ref = fields.text("ref");
-                yield () -> host.control.onExpired(nowUs, ref);
-            }
-            default -> null;
-        };
+        final Runnable event =
+                switch (fields.tag()) {
+                    case "endpoints" -> list(host, fields);
+                    case "incoming" -> message(host, fields);
+                    case "returned" -> outcome(host, fields);
+                    case "expired" -> {
+                        final String ref = fields.text("ref");
+                        yield () -> host.control.onExpired(nowUs, ref);
+                    }
+                    default -> null;
+                };
         touched.put(host.instance, host);
         if (event != null) {
             host.guard(event);
@@ -122,13 +123,14 @@
     }
 
     private Runnable list(final Host host, final Fields fields) {
-        final Courier.Update update = switch (fields.text("scope")) {
-            case "incr" -> Courier.Update.CHANGES;
-            case "total" -> Courier.Update.WHOLE;
-            case "warm_copy" -> Courier.Update.RESTORED;
-            case "lost" -> Courier.Update.LOST;
-            default -> throw fields.malformed("unknown scope '" + fields.text("scope") + "'");
-        };
+        final Courier.Update update =
+                switch (fields.text("scope")) {
+                    case "incr" -> Courier.Update.CHANGES;
+                    case "total" -> Courier.Update.WHOLE;
+                    case "warm_copy" -> Courier.Update.RESTORED;
+                    case "lost" -> Courier.Update.LOST;
+                    default -> throw fields.malformed("unknown scope '" + fields.text("scope") + "'");
+                };
         final List<Courier.Endpoint> entries = new ArrayList<>();
         if (update != Courier.Update.LOST) {
             final List<Fields> rows = sheets.get((int) fields.whole("bank"));
@@ -141,12 +143,13 @@
     }
 
     private static Courier.Endpoint endpoint(final Host host, final Fields row) {
-        final Courier.Condition condition = switch (row.text("condition", "U")) {
-            case "U" -> Courier.Condition.LISTED;
-            case "L" -> Courier.Condition.DRAINING;
-            case "D" -> Courier.Condition.GONE;
-            default -> throw row.malformed("unknown condition '" + row.text("condition") + "'");
-        };
+        final Courier.Condition condition =
+                switch (row.text("condition", "U")) {
+                    case "U" -> Courier.Condition.LISTED;
+                    case "L" -> Courier.Condition.DRAINING;
+                    case "D" -> Courier.Condition.GONE;
+                    default -> throw row.malformed("unknown condition '" + row.text("condition") + "'");
+                };
         final String kindName = row.text("kind", "");
         int kind = -1;
         for (int index = 0; index < host.settings.kinds().size(); index++) {
@@ -154,8 +157,13 @@
                 kind = index;
             }
         }
-        return new Courier.Endpoint(row.whole("endpoint"), condition, row.text("locality", ""),
-                row.number("power_hint", 0), kind, row.whole("cell", 0));
+        return new Courier.Endpoint(
+                row.whole("endpoint"),
+                condition,
+                row.text("locality", ""),
+                row.number("power_hint", 0),
+                kind,
+                row.whole("cell", 0));
     }
 
     private Runnable message(final Host host, final Fields fields) {
@@ -176,8 +184,13 @@
                 tenant = index;
             }
         }
-        final var message = new Courier.Message(fields.text("ref"), classIndex, tenant, fields.text("object", null),
-                fields.whole("valid_until"), fields.whole("destination", 0));
+        final var message = new Courier.Message(
+                fields.text("ref"),
+                classIndex,
+                tenant,
+                fields.text("object", null),
+                fields.whole("valid_until"),
+                fields.whole("destination", 0));
         return () -> host.control.onMessage(nowUs, message);
     }
 
@@ -197,7 +210,9 @@
 
     private static Courier.Allowance allowance(final Host host, final Fields fields) {
         final String[] values = fields.list("load");
-        if (values.length == 0 || host.shareField < 0 || host.limitField < 0
+        if (values.length == 0
+                || host.shareField < 0
+                || host.limitField < 0
                 || Math.max(host.shareField, host.limitField) >= values.length) {
             return null;
         }
@@ -207,8 +222,13 @@
     private Runnable outcome(final Host host, final Fields fields) {
         final Courier.Result result = result(fields);
         final long waitUs = result == Courier.Result.REFUSED ? fields.whole("remark_ms", 0) * US_PER_MS : 0;
-        final var outcome = new Courier.Outcome(fields.text("ref"), result, fields.flag("complete"),
-                fields.whole("endpoint", 0), fields.whole("duration", 0), waitUs,
+        final var outcome = new Courier.Outcome(
+                fields.text("ref"),
+                result,
+                fields.flag("complete"),
+                fields.whole("endpoint", 0),
+                fields.whole("duration", 0),
+                waitUs,
                 allowance(host, fields));
         return () -> host.control.onOutcome(nowUs, outcome);
     }
@@ -232,7 +252,10 @@
             } catch (final RuntimeException e) {
                 final StackTraceElement[] trace = e.getStackTrace();
                 final String where = trace.length > 0 ? " at " + trace[0] : "";
-                act("die").append("\twhat=").append((e + where).replaceAll("\\s+", " ")).append('\n');
+                act("die")
+                        .append("\twhat=")
+                        .append((e + where).replaceAll("\\s+", " "))
+                        .append('\n');
                 e.printStackTrace();
             }
         }
@@ -243,8 +266,14 @@
 
         @Override
         public void send(final String messageId, final long endpoint, final long timeoutUs) {
-            act("pass_on").append("\tref=").append(messageId).append("\tpatience=").append(timeoutUs)
-                    .append("\tendpoint=").append(endpoint).append('\n');
+            act("pass_on")
+                    .append("\tref=")
+                    .append(messageId)
+                    .append("\tpatience=")
+                    .append(timeoutUs)
+                    .append("\tendpoint=")
+                    .append(endpoint)
+                    .append('\n');
         }
 
         @Override
@@ -263,7 +292,12 @@
 
         @Override
         public void cancel(final String messageId, final int attempt) {
-            act("stop_attempt").append("\tref=").append(messageId).append("\tleg=").append(attempt).append('\n');
+            act("stop_attempt")
+                    .append("\tref=")
+                    .append(messageId)
+                    .append("\tleg=")
+                    .append(attempt)
+                    .append('\n');
         }
 
         @Override
--- a/src/main/java/driftchute/bench/Fields.java
+++ b/src/main/java/driftchute/bench/Fields.java
@@ -3,7 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Values by name, of one line or of a file of settings. Absent ones read as their defaults; unknown ones are never asked for. */
+/**
+ * Values by name, of one line or of a file of settings. Absent ones read as their defaults; unknown ones are never
+ * asked for.
+ */
 public final class Fields {
     private final String tag;
     private final Map<String, String> values;
--- a/src/main/java/driftchute/bench/Main.java
+++ b/src/main/java/driftchute/bench/Main.java
@@ -12,7 +12,7 @@
 
     private static final int BUFFER_CHARS = 1 << 16;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the adapter on standard input and output until the input ends. */
     public static void main(final String[] args) throws IOException {
--- a/src/main/java/driftchute/bench/SettingsReader.java
+++ b/src/main/java/driftchute/bench/SettingsReader.java
@@ -9,19 +9,27 @@
     private static final long FOREVER_US = 3_600_000_000L;
     private static final long MOST_COURIERS = 100_000;
 
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     /** Reads all settings that the decisions ask for. */
     public static Courier.Settings read(final Fields fields) {
-        final Courier.Weights weights = switch (fields.text("weights", "none")) {
-            case "nominal" -> Courier.Weights.NOMINAL;
-            case "rough" -> Courier.Weights.ROUGH;
-            default -> Courier.Weights.NONE;
-        };
-        return new Courier.Settings(couriers(fields), fields.text("my_zone", ""),
-                fields.text("discovery", "pushed").equals("on_request"), weights,
+        final Courier.Weights weights =
+                switch (fields.text("weights", "none")) {
+                    case "nominal" -> Courier.Weights.NOMINAL;
+                    case "rough" -> Courier.Weights.ROUGH;
+                    default -> Courier.Weights.NONE;
+                };
+        return new Courier.Settings(
+                couriers(fields),
+                fields.text("my_zone", ""),
+                fields.text("discovery", "pushed").equals("on_request"),
+                weights,
                 fields.text("extra.fades", "linear").equals("halving") ? Courier.Fade.HALVING : Courier.Fade.LINEAR,
-                classes(fields), tenants(fields), kinds(fields), guarantees(fields), limits(fields));
+                classes(fields),
+                tenants(fields),
+                kinds(fields),
+                guarantees(fields),
+                limits(fields));
     }
 
     /** A fleet has this courier at least, whatever its size is told as: that is no reason not to serve. */
@@ -37,16 +45,23 @@
         final List<Courier.MessageClass> classes = new ArrayList<>();
         for (int index = 0; index < fields.whole("classes.count", 0); index++) {
             final String path = "classes." + index + ".";
-            final Courier.Effect effect = switch (fields.text(path + "effect", "side_effect")) {
-                case "pure" -> Courier.Effect.SAFE;
-                case "token" -> Courier.Effect.KEYED;
-                default -> Courier.Effect.UNSAFE;
-            };
+            final Courier.Effect effect =
+                    switch (fields.text(path + "effect", "side_effect")) {
+                        case "pure" -> Courier.Effect.SAFE;
+                        case "token" -> Courier.Effect.KEYED;
+                        default -> Courier.Effect.UNSAFE;
+                    };
             final long deadlineUs = fields.whole(path + "deadline", FOREVER_US);
-            classes.add(new Courier.MessageClass(fields.text(path + "name", ""), effect,
-                    !fields.text(path + "group", "all").equals("all"), fields.flag(path + "in_turn"),
-                    fields.number(path + "points", 1), fields.number(path + "late_worth", 0),
-                    fields.whole(path + "target", deadlineUs), deadlineUs, fields.whole(path + "dedup_window", 0)));
+            classes.add(new Courier.MessageClass(
+                    fields.text(path + "name", ""),
+                    effect,
+                    !fields.text(path + "group", "all").equals("all"),
+                    fields.flag(path + "in_turn"),
+                    fields.number(path + "points", 1),
+                    fields.number(path + "late_worth", 0),
+                    fields.whole(path + "target", deadlineUs),
+                    deadlineUs,
+                    fields.whole(path + "dedup_window", 0)));
         }
         return classes;
     }
@@ -66,23 +81,31 @@
         final String[] perCall = fields.list("extra.per_call");
         final List<Courier.Kind> kinds = new ArrayList<>();
         for (int index = 0; index < names.length; index++) {
-            kinds.add(new Courier.Kind(names[index], index < apart.length && apart[index].equals("true"),
+            kinds.add(new Courier.Kind(
+                    names[index],
+                    index < apart.length && apart[index].equals("true"),
                     index < perCall.length ? (int) fields.number(perCall[index]) : 1));
         }
         return kinds;
     }
 
     private static Courier.Guarantees guarantees(final Fields fields) {
-        return new Courier.Guarantees(fields.whole("guarantees.must_ask_in", FOREVER_US),
-                fields.number("guarantees.cold_from", 1), fields.whole("guarantees.cold", 0),
-                fields.number("guarantees.tip_multiple", 1), fields.whole("guarantees.order_settle", 0));
+        return new Courier.Guarantees(
+                fields.whole("guarantees.must_ask_in", FOREVER_US),
+                fields.number("guarantees.cold_from", 1),
+                fields.whole("guarantees.cold", 0),
+                fields.number("guarantees.tip_multiple", 1),
+                fields.whole("guarantees.order_settle", 0));
     }
 
     private static Courier.Limits limits(final Fields fields) {
-        return new Courier.Limits((int) fields.whole("extra.calls_out", Integer.MAX_VALUE),
+        return new Courier.Limits(
+                (int) fields.whole("extra.calls_out", Integer.MAX_VALUE),
                 (int) fields.whole("limits.max_open", Integer.MAX_VALUE),
-                (int) fields.whole("limits.most_tries", Integer.MAX_VALUE), fields.flag("limits.cancel"),
-                fields.whole("limits.idle_close", FOREVER_US), (int) fields.whole("limits.multiplex", 1),
+                (int) fields.whole("limits.most_tries", Integer.MAX_VALUE),
+                fields.flag("limits.cancel"),
+                fields.whole("limits.idle_close", FOREVER_US),
+                (int) fields.whole("limits.multiplex", 1),
                 fields.flag("limits.retry_after") ? fields.whole("limits.max_retry_after", 0) : 0);
     }
 }
--- a/src/main/java/driftchute/node/Clock.java
+++ b/src/main/java/driftchute/node/Clock.java
@@ -10,6 +10,7 @@
 
     /** Far from zero, so that "never yet" (zero) lies long ago for the decisions. */
     private final long originUs = wallUs();
+
     private final long originNs = System.nanoTime();
 
     /** Now, on the clock that never moves back. */
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -16,10 +16,21 @@
 
 /**
  * What a courier is told at its start: the file of the configuration, with the environment's word on addresses and
- * folders. {@code mgmt}, where operators call, is null where neither tells of one. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it.
+ * folders. {@code mgmt}, where operators call, is null where neither tells of one. Unknown keys are ignored; a value
+ * that cannot be read ends the start with one line that names it.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery, Path state, long seed, int sockets,
-              long diskBytes, JsonNode known, Courier.Settings settings, long connectTimeoutUs) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress mgmt,
+        InetSocketAddress discovery,
+        Path state,
+        long seed,
+        int sockets,
+        long diskBytes,
+        JsonNode known,
+        Courier.Settings settings,
+        long connectTimeoutUs) {
 
     private static final int MOST_PORT = 65_535;
     private static final int HEX = 16;
@@ -45,7 +56,8 @@
         try {
             root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
         } catch (final IOException e) {
-            throw new BadConfigException("cannot read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
+            throw new BadConfigException("cannot read " + file + ": "
+                    + e.getMessage().lines().findFirst().orElse(""));
         }
         return parse(root, environment);
     }
@@ -77,7 +89,7 @@
                 case "PROXY_DISCOVERY" -> values.put("discovery", value);
                 case "PROXY_MGMT" -> values.put("mgmt", value);
                 case "PROXY_STATE" -> values.put("state", value);
-                default -> { }
+                default -> {}
             }
         });
         final Fields fields = Fields.of(values, SOURCE);
@@ -88,11 +100,18 @@
         }
         try {
             final String mgmt = fields.text("mgmt", "");
-            return new Config(fields.text("name", "courier"), address("listen", fields.text("listen")),
-                    mgmt.isEmpty() ? null : address("mgmt", mgmt), address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
-                    seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
-                    atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
-                    SettingsReader.read(settings), atLeastOne(settings, "limits.connect_timeout", 1_000_000));
+            return new Config(
+                    fields.text("name", "courier"),
+                    address("listen", fields.text("listen")),
+                    mgmt.isEmpty() ? null : address("mgmt", mgmt),
+                    address("discovery", fields.text("discovery")),
+                    Path.of(fields.text("state")),
+                    seed(fields.text("seed", "0")),
+                    (int) atLeastOne(fields, "limits.sockets", 1024),
+                    atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB,
+                    root.path("known"),
+                    SettingsReader.read(settings),
+                    atLeastOne(settings, "limits.connect_timeout", 1_000_000));
         } catch (final MalformedLineException e) {
             throw new BadConfigException(e.getMessage());
         } catch (final IllegalArgumentException e) {
@@ -120,8 +139,11 @@
             value.forEach(item -> joined.append(joined.isEmpty() ? "" : ",").append(item.asText()));
             into.put(path, joined.toString());
         } else if (value.isValueNode() && !value.isNull()) {
-            into.put(path, value.isNumber() && value.canConvertToExactIntegral()
-                    ? value.bigIntegerValue().toString() : value.asText());
+            into.put(
+                    path,
+                    value.isNumber() && value.canConvertToExactIntegral()
+                            ? value.bigIntegerValue().toString()
+                            : value.asText());
         }
     }
 
--- a/src/main/java/driftchute/node/Counters.java
+++ b/src/main/java/driftchute/node/Counters.java
@@ -38,8 +38,8 @@
 
     /** The counts as text; they begin anew. */
     String take() {
-        final String text = "taken " + taken + ", turned away " + turnedAway + ", ended undelivered " + ended + ", shed " + shed
-                + ", attempts " + outcomes;
+        final String text = "taken " + taken + ", turned away " + turnedAway + ", ended undelivered " + ended
+                + ", shed " + shed + ", attempts " + outcomes;
         taken = turnedAway = ended = shed = 0;
         outcomes.clear();
         return text;
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -58,13 +58,17 @@
      * whose watches break together would ask again together. At most, or news would come later than it counts as told.
      */
     private static final int AGAIN_MS = 300;
+
     private static final int AGAIN_MOST_MS = 1200;
     private static final double AGAIN_JITTER = 0.3;
     private static final int CONNECT_MS = 1000;
-    /** How long the agent's first word is waited for, by a start as well: it comes at once, unless discovery is down. */
+    /**
+     * How long the agent's first word is waited for, by a start as well: it comes at once, unless discovery is down.
+     */
     static final int FIRST_WORD_MS = 1000;
     /** Different faults of the list that are said, at most. */
     private static final int MOST_FAULTS = 50;
+
     private static final int MOST_LINE_BYTES = 1 << 22;
     private static final int OK = 200;
 
@@ -76,6 +80,7 @@
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     /** All that any list has named so far, also those that have no endpoint just now. */
     private final Set<Long> destinations = new HashSet<>();
+
     private long nextId = 1;
     private long seq;
     private InetSocketAddress address;
@@ -85,6 +90,7 @@
     private Runnable start;
     /** Watches in a row that ended without news, and what was wrong with the list so far. */
     private int barren;
+
     private final Set<String> faults = new HashSet<>();
     private final Random random;
 
@@ -120,7 +126,9 @@
     /** Messages that one call to an endpoint may carry. */
     int messagesPerCall(final long endpoint) {
         final Courier.Endpoint entry = entries.get(endpoint);
-        return entry == null || entry.kind() < 0 ? 1 : config.settings().kinds().get(entry.kind()).messagesPerCall();
+        return entry == null || entry.kind() < 0
+                ? 1
+                : config.settings().kinds().get(entry.kind()).messagesPerCall();
     }
 
     Collection<Courier.Endpoint> entries() {
@@ -140,14 +148,18 @@
         }
         final long id = nextId++;
         ids.put(name, id);
-        host.list(Courier.Update.CHANGES, List.of(new Courier.Endpoint(id, Courier.Condition.DRAINING, zone, 0, -1,
-                destination)));
+        host.list(
+                Courier.Update.CHANGES,
+                List.of(new Courier.Endpoint(id, Courier.Condition.DRAINING, zone, 0, -1, destination)));
         return id;
     }
 
     String nameOf(final long endpoint) {
-        return ids.entrySet().stream().filter(entry -> entry.getValue() == endpoint).map(Map.Entry::getKey)
-                .findFirst().orElse("");
+        return ids.entrySet().stream()
+                .filter(entry -> entry.getValue() == endpoint)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse("");
     }
 
     /** Endpoints in the list. */
@@ -172,7 +184,8 @@
     }
 
     /**
-     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came while
+     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came
+     * while
      * no process ran, and the copy from the configuration does not have it. A silent agent is not waited for long.
      */
     void whenHeard(final Runnable begin) {
@@ -196,14 +209,17 @@
         }
         final Watch fresh = new Watch();
         watch = fresh;
-        final ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        final ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec(), fresh);
                     }
-                }).connect(address);
+                })
+                .connect(address);
         if (!connecting.channel().isRegistered()) {
             host.shortOfDescriptors();
         }
@@ -234,7 +250,8 @@
                 continue;
             }
             entries.put(entry.id(), entry);
-            final boolean apart = entry.kind() >= 0 && config.settings().kinds().get(entry.kind()).routesApart();
+            final boolean apart = entry.kind() >= 0
+                    && config.settings().kinds().get(entry.kind()).routesApart();
             host.endpoints().listed(entry, apart, dial(node));
         }
         if (update != Courier.Update.RESTORED) {
@@ -258,7 +275,8 @@
      */
     private Courier.Endpoint read(final JsonNode node) {
         try {
-            if (entries.get(ids.get(node.path("host").asText())) == null && !node.path("health").asText().equals("Gone")) {
+            if (entries.get(ids.get(node.path("host").asText())) == null
+                    && !node.path("health").asText().equals("Gone")) {
                 Config.address("dial", node.path("dial").asText());
             }
             return entry(node);
@@ -266,8 +284,10 @@
             fault("an entry of the list cannot be used: " + e.getMessage());
             final Courier.Endpoint old = entries.get(ids.get(node.path("host").asText()));
             final Courier.Condition condition = old == null ? null : condition(node, old.condition());
-            return old == null ? null : new Courier.Endpoint(old.id(), condition, old.zone(), old.weight(), old.kind(),
-                    old.destination());
+            return old == null
+                    ? null
+                    : new Courier.Endpoint(
+                            old.id(), condition, old.zone(), old.weight(), old.kind(), old.destination());
         }
     }
 
@@ -314,8 +334,13 @@
         }
         final long id = ids.computeIfAbsent(name, unused -> nextId++);
         final double weight = node.path("share").asDouble(0);
-        return new Courier.Endpoint(id, condition, node.path("site").asText(),
-                Double.isFinite(weight) ? Math.max(0, weight) : 0, kind, node.path("block").asLong());
+        return new Courier.Endpoint(
+                id,
+                condition,
+                node.path("site").asText(),
+                Double.isFinite(weight) ? Math.max(0, weight) : 0,
+                kind,
+                node.path("block").asLong());
     }
 
     /** How long until the next watch: the longer, the more have ended without news. */
@@ -340,7 +365,8 @@
         boolean isClosedBy(final String text) throws IOException {
             final byte[] bytes = (text + '\n').getBytes(StandardCharsets.UTF_8);
             ((ByteArrayFeeder) tokens.getNonBlockingInputFeeder()).feedInput(bytes, 0, bytes.length);
-            for (JsonToken next = tokens.nextToken(); next != null && next != JsonToken.NOT_AVAILABLE;
+            for (JsonToken next = tokens.nextToken();
+                    next != null && next != JsonToken.NOT_AVAILABLE;
                     next = tokens.nextToken()) {
                 depth += next.isStructStart() ? 1 : next.isStructEnd() ? -1 : 0;
             }
@@ -353,10 +379,12 @@
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         /** An object whose end has not come: lists may come indented, over several lines. */
         private final StringBuilder begun = new StringBuilder();
+
         private Nesting nesting;
         private ChannelHandlerContext context;
         /** Ends this watch unless a line comes before. */
         private ScheduledFuture<?> silence;
+
         private boolean answered;
 
         @Override
@@ -372,8 +400,8 @@
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
-            final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/discovery/hosts?watch=1&after=" + seq);
+            final var request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/discovery/hosts?watch=1&after=" + seq);
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
             ctx.writeAndFlush(request);
             listen(FIRST_WORD_MS);
@@ -390,7 +418,8 @@
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
             if (part.decoderResult().isFailure()
-                    || part instanceof HttpResponse response && response.status().code() != OK) {
+                    || part instanceof HttpResponse response
+                            && response.status().code() != OK) {
                 ctx.close();
                 return;
             }
@@ -437,8 +466,8 @@
                     begun.append(text).append('\n');
                 }
             } catch (final IOException e) {
-                fault("the list cannot be read: " + (e instanceof JsonProcessingException json
-                        ? json.getOriginalMessage() : e.getMessage()));
+                fault("the list cannot be read: "
+                        + (e instanceof JsonProcessingException json ? json.getOriginalMessage() : e.getMessage()));
                 context.close();
             }
         }
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -65,6 +65,7 @@
     private static final long BODY_MS = 200;
     /** How long an answer that was on its way when its call was given up is listened for: a round trip, and more. */
     private static final long LATE_MS = 300;
+
     private static final Pattern FIRST_LINE = Pattern.compile("HTTP/1\\.[01] 200(?!\\d)");
     private static final int MOST_LINE_CHARS = 64;
     private static final int OK = 200;
@@ -88,7 +89,7 @@
     private boolean winding;
 
     /** How a message fared in a call. {@code waitUs}: what the answer told to wait, or 0. */
-    record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) { }
+    record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) {}
 
     Endpoints(final Config config, final EventLoop loop, final Clock clock, final Host host) {
         this.clock = clock;
@@ -96,7 +97,9 @@
         this.host = host;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -111,8 +114,9 @@
 
     /** The connections, for the log: each one that is opened costs the endpoint work. */
     String describe() {
-        return "connections " + connections + " (" + pools.values().stream().mapToInt(pool -> pool.idle.size()).sum()
-                + " idle, " + opened + " opened so far)";
+        return "connections " + connections + " ("
+                + pools.values().stream().mapToInt(pool -> pool.idle.size()).sum() + " idle, " + opened
+                + " opened so far)";
     }
 
     // ---------------------------------------------------------------- state
@@ -125,6 +129,7 @@
         private InetSocketAddress address;
         /** Idle ones, the one used last at the end. */
         private final Deque<Reader> idle = new ArrayDeque<>();
+
         private boolean removed;
         private boolean misreports;
 
@@ -148,6 +153,7 @@
         private final List<Host.Parcel> left = new ArrayList<>();
         /** Sent as several: so is its answer, also when the time of some is up before it comes. */
         private final boolean many;
+
         private Channel channel;
         private boolean started;
         private boolean written;
@@ -160,8 +166,10 @@
             this.parcels = new ArrayList<>(parcels);
             this.many = parcels.size() > 1;
             this.sentUs = sentUs;
-            this.writeByUs = parcels.stream().mapToLong(Host.Parcel::writeByUs).min().orElse(Held.NEVER);
-            this.deadlineUs = sentUs + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
+            this.writeByUs =
+                    parcels.stream().mapToLong(Host.Parcel::writeByUs).min().orElse(Held.NEVER);
+            this.deadlineUs = sentUs
+                    + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
         }
 
         long endpoint() {
@@ -177,7 +185,9 @@
         }
     }
 
-    /** The list names an endpoint, or its address has changed; null where one that is known has none that can be read. */
+    /**
+     * The list names an endpoint, or its address has changed; null where one that is known has none that can be read.
+     */
     void listed(final Courier.Endpoint entry, final boolean apart, final InetSocketAddress address) {
         final Pool pool = pools.computeIfAbsent(entry.id(), unused -> new Pool(entry, apart, address));
         if (address != null && !pool.address.equals(address)) {
@@ -225,8 +235,10 @@
     /** Closes connections before the endpoint does: a request that crosses its close may have run, or not. */
     private void closeOld() {
         final long beforeUs = clock.nowUs() - idleUs;
-        pools.values().forEach(pool -> List.copyOf(pool.idle).stream()
-                .filter(reader -> reader.idleSinceUs <= beforeUs).forEach(Reader::close));
+        pools.values()
+                .forEach(pool -> List.copyOf(pool.idle).stream()
+                        .filter(reader -> reader.idleSinceUs <= beforeUs)
+                        .forEach(Reader::close));
     }
 
     private void makeRoom() {
@@ -237,8 +249,11 @@
 
     /** Gives up the connection that has been idle for longest. */
     void closeOldest() {
-        pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
-                .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
+        pools.values().stream()
+                .filter(pool -> !pool.idle.isEmpty())
+                .map(pool -> pool.idle.peekFirst())
+                .min(Comparator.comparingLong(reader -> reader.idleSinceUs))
+                .ifPresent(Reader::close);
     }
 
     // ---------------------------------------------------------------- calls
@@ -249,7 +264,9 @@
      */
     Call prepare(final long endpoint, final List<Host.Parcel> parcels) {
         final List<Host.Parcel> ranked = new ArrayList<>(parcels);
-        ranked.sort(Comparator.comparingLong((Host.Parcel parcel) -> parcel.open().endUs()).reversed());
+        ranked.sort(
+                Comparator.comparingLong((Host.Parcel parcel) -> parcel.open().endUs())
+                        .reversed());
         return new Call(pools.get(endpoint), endpoint, ranked, clock.nowUs());
     }
 
@@ -268,11 +285,14 @@
             }
         }
         if (call.writeByUs < call.deadlineUs) {
-            loop.schedule(() -> {
-                if (!call.written) {
-                    abandon(call, Result.NO_CONNECTION);
-                }
-            }, call.writeByUs - call.sentUs, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (!call.written) {
+                            abandon(call, Result.NO_CONNECTION);
+                        }
+                    },
+                    call.writeByUs - call.sentUs,
+                    TimeUnit.MICROSECONDS);
         }
         call.started = true;
         final Reader idle = idle(call.pool);
@@ -335,7 +355,8 @@
             call.channel.close();
         }
         end(call);
-        final Result sure = call.delivered ? Result.DELIVERED
+        final Result sure = call.delivered
+                ? Result.DELIVERED
                 : call.written || result == Result.NOT_SENT ? result : neverWritten(result);
         tell(call, new Answer(sure, call.delivered, 0, null));
     }
@@ -346,7 +367,8 @@
     }
 
     /**
-     * A message whose own time is up leaves a call that others still wait for. It is not sent again. With the last of its
+     * A message whose own time is up leaves a call that others still wait for. It is not sent again. With the last of
+     * its
      * messages the call is given up; one that is not written yet had none of them run.
      */
     private void expire(final Call call, final Host.Parcel parcel) {
@@ -378,7 +400,9 @@
         call.parcels.forEach(parcel -> host.outcome(parcel, call, answer));
     }
 
-    /** Gives up calls that are on their way and not written yet: a wait was told, or their endpoint drains or is gone. */
+    /**
+     * Gives up calls that are on their way and not written yet: a wait was told, or their endpoint drains or is gone.
+     */
     private void holdBack(final Predicate<Call> bound) {
         for (final Call call : List.copyOf(calls)) {
             if (!call.written && bound.test(call)) {
@@ -425,6 +449,7 @@
         private Call call;
         /** Whose answer to a call that was given up may still come. */
         private Pool late;
+
         private long idleSinceUs;
         private HttpResponse head;
         private boolean keep;
@@ -438,7 +463,8 @@
                 firstLine.append(next);
                 return;
             }
-            final boolean delivered = next == '\n' && FIRST_LINE.matcher(firstLine).lookingAt();
+            final boolean delivered =
+                    next == '\n' && FIRST_LINE.matcher(firstLine).lookingAt();
             firstLine = null;
             if (delivered && call != null) {
                 sure(call);
@@ -485,7 +511,10 @@
             }
         }
 
-        /** Gives the call up by ending our sending: an answer that is on its way may still tell a wait, and that binds. */
+        /**
+         * Gives the call up by ending our sending: an answer that is on its way may still tell a wait, and that
+         * binds.
+         */
         private void letGo() {
             late = call.pool;
             call = null;
@@ -516,7 +545,8 @@
                 }
             }
             if (part.decoderResult().isFailure()) {
-                Log.info("an answer of " + call.pool.address + " to " + call.ids() + " cannot be read" + (head == null ? "" : " behind " + head.status().code()) + ": "
+                Log.info("an answer of " + call.pool.address + " to " + call.ids() + " cannot be read"
+                        + (head == null ? "" : " behind " + head.status().code()) + ": "
                         + part.decoderResult().cause().getClass().getSimpleName());
                 broken();
                 return;
@@ -592,13 +622,14 @@
                 Log.info("an endpoint's answer to several messages cannot be read: " + e.getMessage());
             }
             for (final Host.Parcel parcel : done.parcels) {
-                final Answer one = switch (states.getOrDefault(parcel.open().held.id, "")) {
-                    case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
-                    case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
-                    case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
-                    case "no_more" -> new Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
-                    default -> new Answer(Result.ERROR, false, all.waitUs(), all.allowance());
-                };
+                final Answer one =
+                        switch (states.getOrDefault(parcel.open().held.id, "")) {
+                            case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
+                            case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
+                            case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
+                            case "no_more" -> new Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
+                            default -> new Answer(Result.ERROR, false, all.waitUs(), all.allowance());
+                        };
                 host.outcome(parcel, done, one);
             }
         }
@@ -622,8 +653,8 @@
     private FullHttpRequest request(final Call call) {
         final boolean many = call.many;
         final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body;
-        final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
+        final FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.POST, many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
         request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS));
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
--- a/src/main/java/driftchute/node/HangUp.java
+++ b/src/main/java/driftchute/node/HangUp.java
@@ -11,7 +11,7 @@
     private static final String SIGNAL = "sun.misc.Signal";
     private static final String HANDLER = "sun.misc.SignalHandler";
 
-    private HangUp() { }
+    private HangUp() {}
 
     /** Runs an action at each SIGHUP from now on, on a thread of the JDK's. */
     static void handle(final Runnable action) {
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -14,6 +14,7 @@
     final String idempotencyKey;
     /** Messages of one such key go one at a time, in the order taken; null where the class keeps no order. */
     final String orderKey;
+
     final long destination;
     final long validUntilWallUs;
     final byte[] body;
@@ -22,14 +23,21 @@
     private String runZone = "";
     /** When the attempt that is out was begun; never, while none is. */
     private long outWallUs = NEVER;
+
     private String outZone = "";
     private Notice notice;
 
     /** The end that the platform is told: a failure, or a refusal with the time after which to come again. */
-    record Notice(boolean failed, long againMs) { }
-
-    Held(final String id, final String className, final String idempotencyKey, final String orderKey,
-         final long destination, final long validUntilWallUs, final byte[] body) {
+    record Notice(boolean failed, long againMs) {}
+
+    Held(
+            final String id,
+            final String className,
+            final String idempotencyKey,
+            final String orderKey,
+            final long destination,
+            final long validUntilWallUs,
+            final byte[] body) {
         this.id = id;
         this.className = className;
         this.idempotencyKey = idempotencyKey;
@@ -95,7 +103,11 @@
     /** As {@link #past}, where the call that is out goes on at a process that still lives. */
     Courier.Past pastBut(final Clock clock, final long endpoint) {
         final boolean ran = firstRunWallUs != NEVER;
-        return new Courier.Past(attempts, ran, ran ? clock.fromWallUs(firstRunWallUs) : 0, runZone,
+        return new Courier.Past(
+                attempts,
+                ran,
+                ran ? clock.fromWallUs(firstRunWallUs) : 0,
+                runZone,
                 new Courier.Out(endpoint, clock.fromWallUs(outWallUs)));
     }
 
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -28,6 +28,7 @@
     private static final long HEAR_MS = 10;
     /** How often the marks of endpoints taken out are looked at: a drain binds after 250 ms. */
     private static final long MARKS_MS = 50;
+
     private static final long DEAD_US = 20_000;
     /**
      * A message's time runs from when its client sent it. It may have lain unread while the process had no core, up to
@@ -63,17 +64,23 @@
         final long slackUs;
         /** Where its first answer goes; null once that is given. */
         private Reply reply;
+
         private boolean over;
         private Endpoints.Call call;
         /** Where the call goes that is out at the process before this one. */
         private long endpoint;
         /** For the log: when it came to this process, when it was first sent, and how it fared last. */
         private final long sinceUs;
+
         private long firstSentUs;
         private Courier.Result lastResult;
 
-        Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Reply reply,
-             final long sinceUs) {
+        Open(
+                final Held held,
+                final Courier.MessageClass kind,
+                final long validUntilUs,
+                final Reply reply,
+                final long sinceUs) {
             this.held = held;
             this.kind = kind;
             this.validUntilUs = validUntilUs;
@@ -89,7 +96,7 @@
     }
 
     /** One message's part in a call, which may be written until {@code writeByUs} and not after. */
-    record Parcel(Open open, long timeoutUs, long writeByUs) { }
+    record Parcel(Open open, long timeoutUs, long writeByUs) {}
 
     private final Config config;
     private final EventLoop loop;
@@ -106,23 +113,28 @@
     private final Set<String> handedOn = new HashSet<>();
     /** Messages that have ended and are still in a call, and those of them whose notice is answered. */
     private final Set<String> out = new HashSet<>();
+
     private final Map<String, Held> answered = new HashMap<>();
     private final Counters counters = new Counters();
     private final Figures figures;
     /** Those that this process takes over from, while it still has something to hear from them. */
     private final List<Predecessor> predecessors = new ArrayList<>();
+
     private Journal journal;
     /** What this process tells the one that takes over from it; null until it leaves. */
     private Leaving leaving;
     /** What operators have taken out or put back of late, by the endpoints' names; the folder holds it. */
     private Map<String, Long> marks = Map.of();
+
     private final Marks folder;
-    private Runnable relief = () -> { };
+    private Runnable relief = () -> {};
     private boolean passDue;
 
     Host(final Config config, final EventLoop loop, final Clock clock) {
         this.config = config;
-        this.figures = new Figures(config.settings().classes().stream().map(Courier.MessageClass::name).toList());
+        this.figures = new Figures(config.settings().classes().stream()
+                .map(Courier.MessageClass::name)
+                .toList());
         this.loop = loop;
         this.clock = clock;
         this.folder = new Marks(config.state(), config.settings().guarantees().coldUs());
@@ -179,8 +191,9 @@
             final Set<String> changed = new HashSet<>(found.keySet());
             changed.removeIf(host -> found.get(host).equals(marks.get(host)));
             marks = found;
-            Log.info("by hand: " + found.values().stream().filter(at -> at == Marks.OUT).count()
-                    + " endpoints out; changed " + changed);
+            Log.info("by hand: "
+                    + found.values().stream().filter(at -> at == Marks.OUT).count() + " endpoints out; changed "
+                    + changed);
             changed.forEach(this::mark);
             count();
             touch();
@@ -209,7 +222,10 @@
         journal = owned;
         look();
         predecessors.addAll(Predecessor.all(config.state(), clock, journal));
-        final List<String> before = journal.live().stream().filter(this::takeUp).map(held -> held.id).toList();
+        final List<String> before = journal.live().stream()
+                .filter(this::takeUp)
+                .map(held -> held.id)
+                .toList();
         if (!before.isEmpty()) {
             Log.info("resumed " + before.size() + " messages");
         }
@@ -235,8 +251,12 @@
     }
 
     private void resume(final Held held, final int index) {
-        final Open open = new Open(held, config.settings().classes().get(index),
-                clock.fromWallUs(held.validUntilWallUs), null, clock.nowUs());
+        final Open open = new Open(
+                held,
+                config.settings().classes().get(index),
+                clock.fromWallUs(held.validUntilWallUs),
+                null,
+                clock.nowUs());
         final String host = held.isOut() ? outTo(held.id) : null;
         final Courier.Past past;
         if (host == null) {
@@ -256,7 +276,11 @@
 
     /** The endpoint to which a process that leaves has this message's call out, or null. */
     private String outTo(final String id) {
-        return predecessors.stream().map(one -> one.outTo(id)).filter(Objects::nonNull).findFirst().orElse(null);
+        return predecessors.stream()
+                .map(one -> one.outTo(id))
+                .filter(Objects::nonNull)
+                .findFirst()
+                .orElse(null);
     }
 
     /** Takes up what processes that leave have told since; ahead of each decision, and of each message taken. */
@@ -362,8 +386,7 @@
         leaving = file;
         endpoints.wind();
         journal.close();
-        Log.info("leaves: another process goes on with " + messages.size() + " messages, "
-                + endpoints.describe());
+        Log.info("leaves: another process goes on with " + messages.size() + " messages, " + endpoints.describe());
     }
 
     /** While it leaves, a message is only handed on; its client is answered once the file has it. */
@@ -392,8 +415,8 @@
     }
 
     private static Courier.Message message(final Open open, final int index) {
-        return new Courier.Message(open.held.id, index, -1, open.held.orderKey, open.validUntilUs,
-                open.held.destination, open.slackUs);
+        return new Courier.Message(
+                open.held.id, index, -1, open.held.orderKey, open.validUntilUs, open.held.destination, open.slackUs);
     }
 
     // ---------------------------------------------------------------- what the sockets bring
@@ -522,8 +545,16 @@
                 journal.settle(open.held, answer.result().neverRan());
             }
         }
-        control.onOutcome(clock.nowUs(), new Courier.Outcome(open.held.id, answer.result(), open.over,
-                endpoint, durationUs, answer.waitUs(), answer.allowance()));
+        control.onOutcome(
+                clock.nowUs(),
+                new Courier.Outcome(
+                        open.held.id,
+                        answer.result(),
+                        open.over,
+                        endpoint,
+                        durationUs,
+                        answer.waitUs(),
+                        answer.allowance()));
         touch();
     }
 
@@ -630,8 +661,9 @@
 
     private boolean isWithdrawn(final Parcel parcel) {
         if (parcel.open().over) {
-            control.onOutcome(clock.nowUs(), new Courier.Outcome(parcel.open().held.id, Courier.Result.NOT_SENT, true, 0, 0,
-                    0, null));
+            control.onOutcome(
+                    clock.nowUs(),
+                    new Courier.Outcome(parcel.open().held.id, Courier.Result.NOT_SENT, true, 0, 0, 0, null));
             touch();
         }
         return parcel.open().over;
@@ -643,12 +675,14 @@
     public void send(final String messageId, final long endpoint, final long timeoutUs) {
         final Open open = messages.get(messageId);
         if (open != null) {
-            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>()).add(new Parcel(open, timeoutUs, writeByUs(open)));
+            outbox.computeIfAbsent(endpoint, unused -> new ArrayList<>())
+                    .add(new Parcel(open, timeoutUs, writeByUs(open)));
         }
     }
 
     /**
-     * A repeat of a keyed message is sent while its key is remembered: it was decided so, but its connection may come up
+     * A repeat of a keyed message is sent while its key is remembered: it was decided so, but its connection may come
+     * up
      * later than that. So long before the end of the window nothing is written any more: it is still on its way then.
      */
     private long writeByUs(final Open open) {
@@ -721,8 +755,12 @@
         final String how = notice.failed() ? "failed" : "refused, again in " + notice.againMs() + " ms";
         Log.info("message " + held.id + " " + held.className + " to " + held.destination + " " + how + ": after "
                 + (nowUs - open.sinceUs) / US_PER_MS + " ms, " + (open.validUntilUs - nowUs) / US_PER_MS + " ms left, "
-                + held.attempts() + " attempts" + (open.firstSentUs == 0 ? "" : ", first after "
-                + (open.firstSentUs - open.sinceUs) / US_PER_MS + " ms, last " + open.lastResult) + "; "
+                + held.attempts() + " attempts"
+                + (open.firstSentUs == 0
+                        ? ""
+                        : ", first after " + (open.firstSentUs - open.sinceUs) / US_PER_MS + " ms, last "
+                                + open.lastResult)
+                + "; "
                 + control.describe(held.destination));
     }
 
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -58,6 +58,7 @@
     private static final int MOST_ID_CHARS = 128;
     /** A class or a key as a part of a path. */
     private static final Pattern KEY = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
+
     private static final int MOST_QUEUED = 16;
     private static final int BACKLOG = 1024;
     private static final long US_PER_MS = 1000;
@@ -67,6 +68,7 @@
      * sends nothing is owed an end too, within 3 s; and how long what is left of a refused one is read away.
      */
     private static final long REQUEST_US = 2_200_000;
+
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
     private static final long SPENT_RETRY_US = 500_000;
@@ -79,10 +81,11 @@
     private static final long LEAVE_IDLE_US = 1_000_000;
     /** Where another process takes over, most clients ask again within this, and an answer ends their connection. */
     private static final long LEAVE_GRACE_US = 1_000_000;
+
     private static final long NEVER = Long.MAX_VALUE;
     /** What each message says once; one that says it twice could be meant either way. */
-    private static final List<String> OWN_HEADERS = List.of("Host", "X-Request-ID", "X-Priority-Class",
-            "X-Timeout-Ms", "X-Consignee");
+    private static final List<String> OWN_HEADERS =
+            List.of("Host", "X-Request-ID", "X-Priority-Class", "X-Timeout-Ms", "X-Consignee");
     /** Share of the descriptors for clients, who need a third for their requests. */
     private static final double SOCKET_SHARE = 0.45;
     /** One that spoke, or came, since then is not shed: its request may lie unread in the kernel. */
@@ -91,6 +94,7 @@
     private static final long REST_MS = 20;
     /** Share of the connections that there was room for, once descriptors have run out, and for how long it binds. */
     private static final double SHORT_SHARE = 0.75;
+
     private static final double LEAST_SHARE = 0.05;
     private static final long SHORT_US = 10_000_000;
     /** Before the listening socket is closed, what lies in its queue is let in: so often it is looked at, at most. */
@@ -102,13 +106,16 @@
     private final int mostConnections;
     /** Less than that while descriptors have run out below it. */
     private int roomFor;
+
     private long shortUntilUs;
     /** Connections accepted so far. */
     private long accepted;
+
     private final Set<Session> sessions = new HashSet<>();
     private Channel listener;
     /** This process ends: answers end their connections. */
     private boolean draining;
+
     private boolean accepting = true;
     private boolean resting;
     /** The listening socket is the platform's, and other processes accept from it too. */
@@ -133,17 +140,24 @@
     ChannelFuture listen(final EventLoopGroup group, final EventLoop loop, final ServerSocketChannel held) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         shared = held != null;
-        final ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+        final ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
                 .channelFactory(() -> shared ? new NioServerSocketChannel(held) : new NioServerSocketChannel())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Door())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
                         final StrictDecoder decoder = new StrictDecoder();
                         final Session session = new Session(decoder);
-                        channel.pipeline().addLast(new Arrivals(session), decoder, new HttpResponseEncoder(),
-                                new HttpServerExpectContinueHandler(), session);
+                        channel.pipeline()
+                                .addLast(
+                                        new Arrivals(session),
+                                        decoder,
+                                        new HttpResponseEncoder(),
+                                        new HttpServerExpectContinueHandler(),
+                                        session);
                     }
                 });
         final ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(config.listen());
@@ -157,13 +171,14 @@
     }
 
     /**
-     * From now on answers end their connections, and those on which nothing is asked are closed; a moment later, so that
+     * From now on answers end their connections, and those on which nothing is asked are closed; a moment later, so
+     * that
      * requests that had come by now are read and answered.
      */
     void drain() {
         draining = true;
-        listener.eventLoop().schedule(() -> List.copyOf(sessions).forEach(Session::closeIfIdle), REST_MS,
-                TimeUnit.MILLISECONDS);
+        listener.eventLoop()
+                .schedule(() -> List.copyOf(sessions).forEach(Session::closeIfIdle), REST_MS, TimeUnit.MILLISECONDS);
     }
 
     /** By hand: takes no more clients, but goes on serving what is held and what still comes. Or takes them again. */
@@ -223,7 +238,10 @@
         }
     }
 
-    /** True when nobody is cut off by the end of this process: each client has its answer, and has been sent elsewhere. */
+    /**
+     * True when nobody is cut off by the end of this process: each client has its answer, and has been sent
+     * elsewhere.
+     */
     boolean isDone() {
         return !accepting && sessions.isEmpty();
     }
@@ -254,9 +272,11 @@
     private void makeRoom() {
         while (sessions.size() >= roomFor) {
             final long beforeUs = clock.nowUs() - SPARED_US;
-            final Session silent = sessions.stream().filter(session -> session.isOfNoUse(beforeUs))
+            final Session silent = sessions.stream()
+                    .filter(session -> session.isOfNoUse(beforeUs))
                     .min(Comparator.comparing((Session session) -> !session.closing)
-                            .thenComparingLong(session -> session.heardUs)).orElse(null);
+                            .thenComparingLong(session -> session.heardUs))
+                    .orElse(null);
             if (silent == null) {
                 rest();
                 return;
@@ -272,17 +292,24 @@
         if (!resting && listener != null && accepting) {
             resting = true;
             listener.config().setAutoRead(false);
-            listener.eventLoop().schedule(() -> {
-                resting = false;
-                if (accepting) {
-                    listener.config().setAutoRead(true);
-                    makeRoom();
-                }
-            }, REST_MS, TimeUnit.MILLISECONDS);
+            listener.eventLoop()
+                    .schedule(
+                            () -> {
+                                resting = false;
+                                if (accepting) {
+                                    listener.config().setAutoRead(true);
+                                    makeRoom();
+                                }
+                            },
+                            REST_MS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Sees to it that a failed accept costs a pause, not the process: left alone, Netty logs it in a way that can fail. */
+    /**
+     * Sees to it that a failed accept costs a pause, not the process: left alone, Netty logs it in a way that can
+     * fail.
+     */
     private final class Door extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
@@ -323,7 +350,7 @@
     }
 
     /** A whole request that waits for its turn on its connection. */
-    private record Request(HttpRequest head, byte[] body, long begunUs) { }
+    private record Request(HttpRequest head, byte[] body, long begunUs) {}
 
     /** One client's connection. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
@@ -339,6 +366,7 @@
         private HttpResponseStatus fault;
         /** All answers are written: what still comes is read away, and nothing further is served. */
         private boolean closing;
+
         private long sinceUs = clock.nowUs();
         /** When it last sent something, or was answered. */
         private long heardUs = sinceUs;
@@ -395,7 +423,8 @@
         }
 
         /**
-         * Ends our sending, and reads away what the client sent before it saw that: closing over unread bytes would reset
+         * Ends our sending, and reads away what the client sent before it saw that: closing over unread bytes would
+         * reset
          * the connection, and take an answer along that the client has not read. What is read then is not served: the
          * client sends it once more elsewhere.
          */
@@ -443,9 +472,12 @@
             }
             if (part.decoderResult().isFailure()) {
                 final Throwable cause = part.decoderResult().cause();
-                reject(cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
-                        : cause instanceof TooLongHttpHeaderException
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+                reject(
+                        cause instanceof TooLongHttpLineException
+                                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                                : cause instanceof TooLongHttpHeaderException
+                                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                                        : HttpResponseStatus.BAD_REQUEST);
                 return;
             }
             if (part instanceof HttpRequest request) {
@@ -498,16 +530,23 @@
                 if (!request.head().method().equals(HttpMethod.GET)) {
                     answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
                 } else {
-                    answer(draining || isLeft() && !leaving ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                    answer(
+                            draining || isLeft() && !leaving
+                                    ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                                    : HttpResponseStatus.OK,
+                            0);
                 }
                 // Who only asks whether we are up may go on to hand in a message, but not keep a connection idle.
                 dueSinceUs = Math.min(dueSinceUs, clock.nowUs());
                 return;
             }
-            // Either "/class", or "/class/key" where the class keeps an order, and no more: anything else is no message.
+            // Either "/class", or "/class/key" where the class keeps an order, and no more: anything else is no
+            // message.
             final String[] parts = path.split("/", -1);
             final Courier.MessageClass kind = parts.length > 1 && parts[0].isEmpty() ? host.kind(parts[1]) : null;
-            if (kind == null || parts.length != (kind.inTurn() ? 3 : 2) || !KEY.matcher(parts[parts.length - 1]).matches()) {
+            if (kind == null
+                    || parts.length != (kind.inTurn() ? 3 : 2)
+                    || !KEY.matcher(parts[parts.length - 1]).matches()) {
                 answer(HttpResponseStatus.NOT_FOUND, 0);
             } else if (!request.head().method().equals(HttpMethod.POST)) {
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
@@ -522,8 +561,11 @@
             final long timeoutMs = whole(headers.get("X-Timeout-Ms"));
             final long destination = destination(headers.get("X-Consignee"));
             final String key = headers.get("Idempotency-Key");
-            if (OWN_HEADERS.stream().anyMatch(name -> headers.getAll(name).size() != 1) || id.isEmpty() || id.length() > MOST_ID_CHARS
-                    || timeoutMs < 0 || destination < 0
+            if (OWN_HEADERS.stream().anyMatch(name -> headers.getAll(name).size() != 1)
+                    || id.isEmpty()
+                    || id.length() > MOST_ID_CHARS
+                    || timeoutMs < 0
+                    || destination < 0
                     || !kind.name().equals(headers.get("X-Priority-Class"))) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
@@ -547,8 +589,10 @@
                 return;
             }
             currentId = id;
-            host.offer(new Held(id, kind.name(), key, orderKey, destination, clock.wallUs() + lifeUs, request.body()),
-                    clock.nowUs() + lifeUs, new Host.Reply() {
+            host.offer(
+                    new Held(id, kind.name(), key, orderKey, destination, clock.wallUs() + lifeUs, request.body()),
+                    clock.nowUs() + lifeUs,
+                    new Host.Reply() {
                         @Override
                         public void accepted() {
                             // A client that never gets this counts on nothing: its message is withdrawn.
@@ -583,8 +627,10 @@
             final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
             if (retryAfterUs > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
+                response.headers()
+                        .set(
+                                HttpHeaderNames.RETRY_AFTER,
+                                String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
             }
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, "close");
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -43,6 +43,7 @@
     private final Map<String, Held> live = new LinkedHashMap<>();
     /** How far the files of processes that leave have been read, by their names. */
     private final Map<String, Long> readTo = new LinkedHashMap<>();
+
     private FileChannel file;
     private long size;
     private long liveBytes;
@@ -58,8 +59,8 @@
         Files.createDirectories(folder);
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(folder.resolve(NEXT_FILE));
-        journal.file = FileChannel.open(folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        journal.file = FileChannel.open(
+                folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         journal.load();
         return journal;
     }
@@ -118,7 +119,7 @@
     void over(final Held held) {
         if (live.remove(held.id) != null) {
             liveBytes -= bytes(held);
-            append(Records.of(OVER, held.id, out -> { }));
+            append(Records.of(OVER, held.id, out -> {}));
         }
     }
 
@@ -202,17 +203,24 @@
     /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
     private void compact() throws IOException {
         final Path next = folder.resolve(NEXT_FILE);
-        final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        final FileChannel fresh = FileChannel.open(
+                next,
+                StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING,
+                StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
         long written = 0;
         try {
             for (final Held held : live.values()) {
                 written = copy(fresh, taken(held), written);
                 if (held.isOut()) {
-                    written = copy(fresh, Records.of(BEGUN, held.id, out -> {
-                        out.writeLong(held.outWallUs());
-                        out.writeUTF(held.outZone());
-                    }), written);
+                    written = copy(
+                            fresh,
+                            Records.of(BEGUN, held.id, out -> {
+                                out.writeLong(held.outWallUs());
+                                out.writeUTF(held.outZone());
+                            }),
+                            written);
                 }
                 if (held.notice() != null) {
                     written = copy(fresh, owed(held), written);
@@ -278,8 +286,7 @@
         final String runZone = in.readUTF();
         final boolean ordered = in.available() > 0 && in.readBoolean();
         final String orderKey = ordered ? in.readUTF() : null;
-        final Held taken = new Held(id, className, keyed ? key : null, orderKey, destination, validUntilWallUs,
-                body);
+        final Held taken = new Held(id, className, keyed ? key : null, orderKey, destination, validUntilWallUs, body);
         taken.restore(attempts, firstRunWallUs, runZone);
         return taken;
     }
--- a/src/main/java/driftchute/node/Leaving.java
+++ b/src/main/java/driftchute/node/Leaving.java
@@ -10,7 +10,8 @@
 import java.util.Map;
 
 /**
- * What a process that leaves tells the one that takes over, in a file of {@link Records} that only it writes and that it
+ * What a process that leaves tells the one that takes over, in a file of {@link Records} that only it writes and that
+ * it
  * holds a lock on for as long as it lives. First how its endpoints stand and which calls are out, then, until its end,
  * how those fare and what clients still handed in on connections that they keep. {@link Predecessor} reads it.
  */
@@ -27,6 +28,7 @@
     private final FileChannel file;
     /** Held until the process ends, by whatever end: nothing in it ever lets go. */
     private final FileLock alive;
+
     private final long mostBytes;
     private long size;
 
@@ -39,7 +41,8 @@
 
     /** Begins a file of its own in that folder. */
     static Leaving begin(final Path folder, final Clock clock, final long diskBytes) throws IOException {
-        final Path path = folder.resolve(PREFIX + clock.wallUs() + "-" + ProcessHandle.current().pid());
+        final Path path = folder.resolve(
+                PREFIX + clock.wallUs() + "-" + ProcessHandle.current().pid());
         final FileChannel file = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         return new Leaving(clock, file, file.lock(), (long) (FILE_SHARE * diskBytes));
     }
@@ -107,7 +110,7 @@
 
     /** Its client went before it was answered. */
     void withdrawn(final String id) throws IOException {
-        append(WITHDRAWN, id, out -> { });
+        append(WITHDRAWN, id, out -> {});
     }
 
     private void append(final byte type, final String id, final Records.Content content) throws IOException {
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -2,7 +2,7 @@
 
 /** Standard error is the courier's log. One line for each thing that an operator should know, none for a message. */
 final class Log {
-    private Log() { }
+    private Log() {}
 
     static void info(final String text) {
         System.err.println(text);
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -20,18 +20,21 @@
     private static final long LISTEN_MS = 550;
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
+
     private static final long STOP_CHECK_MS = 20;
     /** So long before that no request is waited for any more; its refusal still gets to its client. */
     private static final long FINISH_MS = 700;
     /** How often a process that stands by looks whether it is its turn, and how long it warms up first. */
     private static final long TURN_MS = 3;
+
     private static final long STAND_BY_MS = 700;
     /** For how long at most a process that hands over goes on accepting. */
     private static final long ACCEPT_US = 1_500_000;
+
     private static final long US_PER_MS = 1000;
 
-    private final EventLoopGroup group = new PatientLoopGroup(new DefaultThreadFactory("courier"),
-            NioIoHandler.newFactory());
+    private final EventLoopGroup group =
+            new PatientLoopGroup(new DefaultThreadFactory("courier"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -39,10 +42,12 @@
     private final Turn turn;
     /** The clients' listening socket if the platform holds it, or null. */
     private final ServerSocketChannel held;
+
     private Host host;
     private Intake intake;
     /** What operators are told of this process's health; their thread reads it. */
     private volatile boolean healthy;
+
     private boolean serving;
     private boolean ending;
 
@@ -126,9 +131,11 @@
         new Operators(new Desk()).listen(config.mgmt()).addListener(bound -> {
             if (bound.isSuccess()) {
                 final Channel channel = ((ChannelFuture) bound).channel();
-                Log.info("operators call at " + channel.localAddress().toString().replaceFirst(".*/", ""));
+                Log.info(
+                        "operators call at " + channel.localAddress().toString().replaceFirst(".*/", ""));
             } else {
-                giveUp("cannot listen on " + config.mgmt() + ": " + bound.cause().getMessage());
+                giveUp("cannot listen on " + config.mgmt() + ": "
+                        + bound.cause().getMessage());
             }
         });
     }
@@ -157,7 +164,8 @@
                 // Where descriptors run out, the JDK's logger could not read these any more: that ends the event loop.
                 loop.execute(() -> ZoneId.systemDefault().getRules());
             } else {
-                giveUp("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
+                giveUp("cannot listen on " + config.listen() + ": "
+                        + bound.cause().getMessage());
             }
         });
     }
@@ -223,11 +231,15 @@
                 loop.schedule(intake::stopListening, LISTEN_MS, TimeUnit.MILLISECONDS);
             }
             loop.schedule(intake::finish, STOP_MS - FINISH_MS, TimeUnit.MILLISECONDS);
-            loop.scheduleWithFixedDelay(() -> {
-                if (clock.nowUs() >= stopUs || host.idle() && intake.isDone()) {
-                    stopped.countDown();
-                }
-            }, LISTEN_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    () -> {
+                        if (clock.nowUs() >= stopUs || host.idle() && intake.isDone()) {
+                            stopped.countDown();
+                        }
+                    },
+                    LISTEN_MS,
+                    STOP_CHECK_MS,
+                    TimeUnit.MILLISECONDS);
         });
         try {
             if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)) {
--- a/src/main/java/driftchute/node/Marks.java
+++ b/src/main/java/driftchute/node/Marks.java
@@ -14,13 +14,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Which endpoints operators have taken out, in the folder that outlasts the process: an empty file for each, so that two
+ * Which endpoints operators have taken out, in the folder that outlasts the process: an empty file for each, so that
+ * two
  * processes of one courier can both mark without a lock. One that was put back is kept for as long as it may be cold,
  * with the time in the file's own date.
  */
 final class Marks {
     /** In place of a time: it is out. */
     static final long OUT = Long.MAX_VALUE;
+
     private static final String FOLDER = "out";
     private static final String OUT_PREFIX = "out-";
     private static final String BACK_PREFIX = "back-";
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -42,6 +42,7 @@
     private static final int ANSWER_MS = 1000;
     /** How soon a request that failed is made again: a notice is due 300 ms after its message's time is up. */
     private static final int AGAIN_MS = 100;
+
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int MOST_ANSWER_BYTES = 1 << 16;
     private static final int NO_CONTENT = 204;
@@ -54,11 +55,13 @@
     private final Deque<Held> due = new ArrayDeque<>();
     /** What the request that is out tells; it is still owed. */
     private List<Held> told = List.of();
+
     private Line line;
     /** A request, a connection or a pause is under way, and its end goes on with what is due. */
     private boolean busy;
     /** After a request that could not be read, each notice goes alone: a bad one may not hold up the others. */
     private boolean alone;
+
     private boolean dropped;
 
     Notices(final InetSocketAddress address, final EventLoop loop, final Host host) {
@@ -112,15 +115,18 @@
     private void connect() {
         final Line fresh = new Line();
         final InetSocketAddress to = address;
-        final ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        final ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER_BYTES),
-                                fresh);
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER_BYTES), fresh);
                     }
-                }).connect(to);
+                })
+                .connect(to);
         if (!connecting.channel().isRegistered()) {
             host.shortOfDescriptors();
         }
@@ -158,7 +164,8 @@
 
     private byte[] text(final Held held) {
         final Held.Notice notice = held.notice();
-        final ObjectNode item = json.createObjectNode().put("id", held.id)
+        final ObjectNode item = json.createObjectNode()
+                .put("id", held.id)
                 .put("status", notice.failed() ? "undeliverable" : "deferred");
         if (!notice.failed() && notice.againMs() > 0) {
             item.put("again_ms", notice.againMs());
@@ -191,7 +198,8 @@
             asked = true;
             context.pipeline().addFirst(new ReadTimeoutHandler(ANSWER_MS, TimeUnit.MILLISECONDS));
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/outcomes", body);
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString())
+            request.headers()
+                    .set(HttpHeaderNames.HOST, address.getHostString())
                     .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                     .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             context.writeAndFlush(request);
--- a/src/main/java/driftchute/node/Operators.java
+++ b/src/main/java/driftchute/node/Operators.java
@@ -35,6 +35,7 @@
     static final int MOST_CALLERS = 24;
     /** Callers that send nothing, or half a call, are let go after this. */
     private static final long SILENT_MS = 3000;
+
     private static final String YES = "+OK";
     private static final String NO = "-ERR";
 
@@ -65,15 +66,22 @@
 
     /** Listens there, also before the courier takes clients: a no is an answer as well. */
     ChannelFuture listen(final InetSocketAddress address) {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE_BYTES),
-                                new StringDecoder(StandardCharsets.UTF_8), new Caller());
+                        channel.pipeline()
+                                .addLast(
+                                        new LineBasedFrameDecoder(MOST_LINE_BYTES),
+                                        new StringDecoder(StandardCharsets.UTF_8),
+                                        new Caller());
                     }
-                }).bind(address);
+                })
+                .bind(address);
     }
 
     /** One connection, which carries one call. */
@@ -86,11 +94,15 @@
             if (silent.size() > MOST_CALLERS) {
                 silent.iterator().next().close();
             }
-            ctx.executor().schedule(() -> {
-                if (!called) {
-                    ctx.close();
-                }
-            }, SILENT_MS, TimeUnit.MILLISECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> {
+                                if (!called) {
+                                    ctx.close();
+                                }
+                            },
+                            SILENT_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/driftchute/node/PatientLoopGroup.java
+++ b/src/main/java/driftchute/node/PatientLoopGroup.java
@@ -10,7 +10,8 @@
 
 /**
  * One event loop that waits whole milliseconds, rounded up, for its next timer. A selector cannot wait for less, and
- * Netty, left alone, asks it without end through the last half of one: up to half a millisecond of the processor for each
+ * Netty, left alone, asks it without end through the last half of one: up to half a millisecond of the processor for
+ * each
  * timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead.
  */
 final class PatientLoopGroup extends MultiThreadIoEventLoopGroup {
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -35,6 +35,7 @@
     private final Map<String, String> out = new LinkedHashMap<>();
     /** Up to here the file was taken up, by this process or one before it. */
     private long position;
+
     private FileLock dead;
     private long deadSinceUs;
 
@@ -64,7 +65,8 @@
         final List<Predecessor> found = new ArrayList<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, Leaving.PREFIX + "*")) {
             for (final Path path : files) {
-                found.add(new Predecessor(path, clock, journal.readTo(path.getFileName().toString())));
+                found.add(new Predecessor(
+                        path, clock, journal.readTo(path.getFileName().toString())));
             }
         }
         found.sort((one, other) -> one.path.compareTo(other.path));
@@ -97,7 +99,7 @@
                 case Leaving.OUTCOME -> carried(id, rest, events);
                 case Journal.TAKEN -> events.handedIn(Journal.taken(id, rest));
                 case Leaving.WITHDRAWN -> events.withdrawn(id);
-                default -> { }
+                default -> {}
             }
         });
         return position > before;
@@ -109,8 +111,8 @@
         final boolean over = in.readBoolean();
         final long durationUs = in.readLong();
         final long waitUs = in.readLong();
-        final Courier.Allowance allowance = in.readBoolean()
-                ? new Courier.Allowance(in.readDouble(), in.readDouble()) : null;
+        final Courier.Allowance allowance =
+                in.readBoolean() ? new Courier.Allowance(in.readDouble(), in.readDouble()) : null;
         events.carried(id, new Endpoints.Answer(result, over, waitUs, allowance), durationUs);
     }
 
--- a/src/main/java/driftchute/node/Records.java
+++ b/src/main/java/driftchute/node/Records.java
@@ -17,7 +17,7 @@
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     private static final int MOST_BYTES = 1 << 17;
 
-    private Records() { }
+    private Records() {}
 
     /** Writes the rest of a record. */
     interface Content {
--- a/src/main/java/driftchute/node/Turn.java
+++ b/src/main/java/driftchute/node/Turn.java
@@ -9,7 +9,8 @@
 
 /**
  * Whose turn it is to decide, where a new process replaces one that still runs: a lock on a file in the folder that
- * outlasts both. The kernel frees a lock when its process lets go or dies, so a file that was left behind stops nothing.
+ * outlasts both. The kernel frees a lock when its process lets go or dies, so a file that was left behind stops
+ * nothing.
  * A second lock says that somebody waits, until it has its turn and takes clients.
  */
 final class Turn {
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -30,8 +30,17 @@
     private final Scene scene = Scene.withTwoEndpoints(Scene.settings());
 
     @ParameterizedTest
-    @CsvSource({"0,0,0.4", "0,0.5,0.2", "0,1,-0.2", "0.5,0,0.2", "0.5,0.5,0", "0.5,1,-0.4", "1,0,-0.2", "1,0.5,-0.4",
-        "1,1,-0.6"})
+    @CsvSource({
+        "0,0,0.4",
+        "0,0.5,0.2",
+        "0,1,-0.2",
+        "0.5,0,0.2",
+        "0.5,0.5,0",
+        "0.5,1,-0.4",
+        "1,0,-0.2",
+        "1,0.5,-0.4",
+        "1,1,-0.6"
+    })
     void everyCellOfTableOneAtTheMembershipPeaks(final double latency, final double refusal, final double change) {
         assertEquals(change, Control.tableOne(latency, refusal), 1e-9);
     }
@@ -140,9 +149,18 @@
     /** Settings with one class of that effect, deadline and window for repeats. */
     private static Courier.Settings brief(final Courier.Effect effect, final long deadlineUs, final long windowUs) {
         final Courier.Settings usual = Scene.settings();
-        return new Courier.Settings(usual.couriers(), usual.zone(), usual.listOnRequest(), usual.weights(), usual.fade(),
-                List.of(new Courier.MessageClass("brief", effect, false, false, 1, 0, deadlineUs / 5, deadlineUs, windowUs)),
-                usual.tenants(), usual.kinds(), usual.guarantees(), usual.limits());
+        return new Courier.Settings(
+                usual.couriers(),
+                usual.zone(),
+                usual.listOnRequest(),
+                usual.weights(),
+                usual.fade(),
+                List.of(new Courier.MessageClass(
+                        "brief", effect, false, false, 1, 0, deadlineUs / 5, deadlineUs, windowUs)),
+                usual.tenants(),
+                usual.kinds(),
+                usual.guarantees(),
+                usual.limits());
     }
 
     @Test
@@ -160,7 +178,9 @@
     void anAttemptLeavesRoomForARepeatInsideAShortDeadline() {
         final Scene brief = Scene.withTwoEndpoints(brief(Courier.Effect.SAFE, 2 * SECOND, 0));
         brief.take("m", 0, null, 2 * SECOND);
-        assertTrue(brief.last("m").timeoutUs() <= SECOND, "it takes " + brief.last("m").timeoutUs() + " us of two seconds");
+        assertTrue(
+                brief.last("m").timeoutUs() <= SECOND,
+                "it takes " + brief.last("m").timeoutUs() + " us of two seconds");
     }
 
     @Test
@@ -296,11 +316,13 @@
     void oneSickEndpointIsAvoidedWhileItsDestinationGoesOn() {
         for (int round = 0; round < 40; round++) {
             scene.take("m" + round, SAFE);
-            outstanding().forEach(id -> scene.end(id,
-                    scene.last(id).endpoint() == 1 ? Result.NO_CONNECTION : Result.DELIVERED));
+            outstanding()
+                    .forEach(id ->
+                            scene.end(id, scene.last(id).endpoint() == 1 ? Result.NO_CONNECTION : Result.DELIVERED));
             scene.pass(200 * MS);
         }
-        final long sick = scene.sent.stream().filter(sent -> sent.endpoint() == 1).count();
+        final long sick =
+                scene.sent.stream().filter(sent -> sent.endpoint() == 1).count();
         assertTrue(sick <= 6, "sends to the sick endpoint: " + sick);
         assertTrue(scene.sent.size() >= 40);
     }
@@ -311,8 +333,8 @@
         final Scene tight = new Scene(Scene.settings(1, 1, false, false));
         tight.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"), Scene.endpoint(9, 99, "a"));
         tight.take("hung", UNSAFE);
-        tight.control.onMessage(tight.nowUs, new Courier.Message("other", SAFE, -1, null,
-                tight.nowUs + 16 * SECOND, 99));
+        tight.control.onMessage(
+                tight.nowUs, new Courier.Message("other", SAFE, -1, null, tight.nowUs + 16 * SECOND, 99));
         tight.pass(5 * SECOND);
         assertEquals(List.of("hung/0"), tight.cancelled);
         tight.end("hung", Result.CANCELLED);
@@ -348,8 +370,9 @@
         scene.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
         scene.take("first", SAFE);
         scene.pass(10 * MS);
-        scene.control.onOutcome(scene.nowUs, new Courier.Outcome("first", Result.DELIVERED, true, 1, 10 * MS, 0,
-                new Courier.Allowance(0.9, 4)));
+        scene.control.onOutcome(
+                scene.nowUs,
+                new Courier.Outcome("first", Result.DELIVERED, true, 1, 10 * MS, 0, new Courier.Allowance(0.9, 4)));
         scene.pass(SECOND);
         List.of("a", "b", "c").forEach(id -> scene.take(id, SAFE));
         assertEquals(1, scene.count("a") + scene.count("b") + scene.count("c"), "one at once");
@@ -359,7 +382,9 @@
         assertEquals(2, scene.count("a") + scene.count("b") + scene.count("c"));
     }
 
-    /** Days at size: every courier paced at the whole limit, and refused calls, which use it up too, kept it used up. */
+    /**
+     * Days at size: every courier paced at the whole limit, and refused calls, which use it up too, kept it used up.
+     */
     @Test
     void aFleetKeepsTogetherUnderALimitOfWhichNothingIsLeft() {
         final long spent = callsOfFourteen(0, 1, 11);
@@ -371,8 +396,9 @@
     /** Days at size: half a call a second more for each courier crowded a partner that took less. */
     @Test
     void aFleetDoesNotCrowdAPartnerThatTakesLess() {
-        final List<Scene> fleet = IntStream.range(0, 14).mapToObj(index -> new Scene(Scene.fleetOf(14),
-                Scene.seed(index))).toList();
+        final List<Scene> fleet = IntStream.range(0, 14)
+                .mapToObj(index -> new Scene(Scene.fleetOf(14), Scene.seed(index)))
+                .toList();
         fleet.forEach(one -> one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a")));
         double room = 0;
         int served = 0;
@@ -417,7 +443,9 @@
                     }
                 }
             }
-            calls += one.sent.stream().filter(send -> send.atUs() > startUs + fromS * SECOND).count();
+            calls += one.sent.stream()
+                    .filter(send -> send.atUs() > startUs + fromS * SECOND)
+                    .count();
         }
         return calls;
     }
@@ -433,8 +461,16 @@
         for (final Scene.Sent send : List.copyOf(one.sent)) {
             final Result result = ended.isEmpty() ? Result.DELIVERED : Result.REFUSED;
             ended.add(send.id());
-            one.control.onOutcome(one.nowUs, new Courier.Outcome(send.id(), result, result == Result.DELIVERED, 1,
-                    10 * MS, 0, new Courier.Allowance(0.9, 22)));
+            one.control.onOutcome(
+                    one.nowUs,
+                    new Courier.Outcome(
+                            send.id(),
+                            result,
+                            result == Result.DELIVERED,
+                            1,
+                            10 * MS,
+                            0,
+                            new Courier.Allowance(0.9, 22)));
         }
         one.control.decide(one.nowUs);
         one.pass(SECOND);
@@ -455,9 +491,17 @@
     /** The list says 1 a second; a limit of a millionth would keep the next call off for days. */
     @Test
     void aLimitThatCannotBeIsIgnored() {
-        final Scene one = new Scene(new Courier.Settings(14, "a", false, Courier.Weights.ROUGH,
-                Courier.Fade.LINEAR, Scene.settings().classes(), List.of(), Scene.settings().kinds(),
-                Scene.settings().guarantees(), Scene.settings().limits()));
+        final Scene one = new Scene(new Courier.Settings(
+                14,
+                "a",
+                false,
+                Courier.Weights.ROUGH,
+                Courier.Fade.LINEAR,
+                Scene.settings().classes(),
+                List.of(),
+                Scene.settings().kinds(),
+                Scene.settings().guarantees(),
+                Scene.settings().limits()));
         one.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
         for (final double limit : List.of(1e-6, -4.0, 30.0, 0.0, Double.NaN)) {
             one.take("m" + limit, SAFE);
@@ -501,12 +545,13 @@
         }
         shared.end("down", Result.DELIVERED);
         final List<String> ids = List.of("a", "b", "c", "d", "e");
-        ids.forEach(id -> shared.control.onMessage(shared.nowUs,
-                new Courier.Message(id, SAFE, -1, null, shared.nowUs + 16 * SECOND, DEST)));
+        ids.forEach(id -> shared.control.onMessage(
+                shared.nowUs, new Courier.Message(id, SAFE, -1, null, shared.nowUs + 16 * SECOND, DEST)));
         shared.control.decide(shared.nowUs);
         shared.pass(5 * SECOND);
         ids.forEach(id -> assertEquals(1, shared.count(id), id));
-        assertEquals(1, ids.stream().map(id -> shared.last(id).atUs()).distinct().count(), "one call for all");
+        assertEquals(
+                1, ids.stream().map(id -> shared.last(id).atUs()).distinct().count(), "one call for all");
     }
 
     /** Day 2 of fukuoka-main: a pub chain of ten messages a call was sent awards one by one, 200 waiting behind. */
@@ -517,7 +562,8 @@
         final List<String> ids = List.of("a", "b", "c", "d", "e", "f");
         ids.forEach(id -> shared.take(id, UNSAFE));
         final List<String> out = ids.stream().filter(id -> shared.count(id) > 0).toList();
-        final List<String> waiting = ids.stream().filter(id -> shared.count(id) == 0).toList();
+        final List<String> waiting =
+                ids.stream().filter(id -> shared.count(id) == 0).toList();
         assertTrue(waiting.size() >= 2, "the window holds some back: " + waiting);
         shared.pass(100 * MS);
         shared.end(out.get(0), Result.DELIVERED);
@@ -586,7 +632,10 @@
     @Test
     void aCallThatWeCalledOffDoesNotMakeIdleConnectionsSuspect() {
         final Scene two = new Scene(Scene.settings(2, 1, false, false));
-        two.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"), Scene.endpoint(2, DEST + 1, "a"),
+        two.list(
+                Update.RESTORED,
+                Scene.endpoint(1, DEST, "a"),
+                Scene.endpoint(2, DEST + 1, "a"),
                 Scene.endpoint(3, DEST + 2, "a"));
         two.take("warm", SAFE);
         two.pass(200 * MS);
@@ -640,8 +689,10 @@
                 one.pass(100 * MS);
             }
             final long firstUs = one.sent.get(0).atUs();
-            trials += one.sent.stream().filter(send -> send.atUs() >= fromUs && send.atUs() < untilUs
-                    && send.atUs() > firstUs + 2 * SECOND).count();
+            trials += one.sent.stream()
+                    .filter(send ->
+                            send.atUs() >= fromUs && send.atUs() < untilUs && send.atUs() > firstUs + 2 * SECOND)
+                    .count();
         }
         // The rule's own bound: two thirds of the push from those who saw the outage, where first calls of the others
         // bring as much as arrives. (The tipping rate alone would be 24 of the 120: couriers are younger than outages.)
@@ -677,12 +728,20 @@
             scene.take("keyed" + round, KEYED);
             scene.take("safe" + round, SAFE);
             scene.pass(300 * MS);
-            outstanding().forEach(id -> scene.end(id, id.startsWith("keyed") && scene.last(id).endpoint() == 1
-                    ? Result.RESET : Result.DELIVERED));
+            outstanding()
+                    .forEach(id -> scene.end(
+                            id,
+                            id.startsWith("keyed") && scene.last(id).endpoint() == 1
+                                    ? Result.RESET
+                                    : Result.DELIVERED));
             outstanding().forEach(id -> scene.end(id, Result.DELIVERED));
         }
-        final long sick = scene.sent.stream().filter(s -> s.endpoint() == 1 && s.id().startsWith("keyed")).count();
-        final long well = scene.sent.stream().filter(s -> s.endpoint() == 1 && s.id().startsWith("safe")).count();
+        final long sick = scene.sent.stream()
+                .filter(s -> s.endpoint() == 1 && s.id().startsWith("keyed"))
+                .count();
+        final long well = scene.sent.stream()
+                .filter(s -> s.endpoint() == 1 && s.id().startsWith("safe"))
+                .count();
         assertTrue(sick <= 6, "sparing tries of the failing class: " + sick);
         assertTrue(well >= 2 * sick, "the other class goes on there: " + well);
     }
@@ -745,7 +804,8 @@
             empty.take("m" + index, index % 2 == 0 ? SAFE : KEYED);
             assertTrue(index + 1 - empty.refused.size() < 40);
         }
-        assertTrue(empty.refused.stream().allMatch(id -> Integer.parseInt(id.substring(1)) % 2 == 1),
+        assertTrue(
+                empty.refused.stream().allMatch(id -> Integer.parseInt(id.substring(1)) % 2 == 1),
                 "what has least to gain is refused");
     }
 
@@ -804,7 +864,11 @@
     }
 
     private static void failOutstanding(final Scene one) {
-        one.sent.stream().map(Scene.Sent::id).distinct().filter(id -> one.count(id) > one.ended(id)).toList()
+        one.sent.stream()
+                .map(Scene.Sent::id)
+                .distinct()
+                .filter(id -> one.count(id) > one.ended(id))
+                .toList()
                 .forEach(id -> one.end(id, Result.NO_CONNECTION));
     }
 
@@ -824,8 +888,10 @@
     }
 
     private static void resume(final Scene scene, final String id, final int kind, final Courier.Past past) {
-        scene.control.onResumed(scene.nowUs, new Courier.Message(id, kind, -1, null,
-                scene.nowUs + 16 * Scene.SECOND, Scene.DEST), past);
+        scene.control.onResumed(
+                scene.nowUs,
+                new Courier.Message(id, kind, -1, null, scene.nowUs + 16 * Scene.SECOND, Scene.DEST),
+                past);
         scene.control.decide(scene.nowUs);
     }
 
@@ -906,13 +972,15 @@
     @Test
     void aCallThatIsOutElsewhereHoldsItsSlotAndItsKey() {
         final Scene scene = Scene.withTwoEndpoints(Scene.settings(1, 1, false, false));
-        scene.control.onResumed(scene.nowUs, resumed(scene, "m1", 3, "k"),
+        scene.control.onResumed(
+                scene.nowUs,
+                resumed(scene, "m1", 3, "k"),
                 new Courier.Past(1, false, 0, "", new Courier.Out(1, scene.nowUs - Scene.MS)));
         scene.take("m2", 3, "k", 16 * Scene.SECOND);
         scene.take("m3", 0);
         assertEquals(0, scene.sent.size(), "the only slot is taken");
-        scene.control.onOutcome(scene.nowUs, new Courier.Outcome("m1", Courier.Result.DELIVERED, true, 1,
-                Scene.MS, 0, null));
+        scene.control.onOutcome(
+                scene.nowUs, new Courier.Outcome("m1", Courier.Result.DELIVERED, true, 1, Scene.MS, 0, null));
         scene.control.decide(scene.nowUs);
         assertEquals(1, scene.sent.size());
         assertEquals(0, scene.count("m1"), "it is not sent again");
@@ -988,7 +1056,10 @@
         for (int count = 0; count < 80; count++) {
             scene.take(name + count, 0, null, 2 * Scene.SECOND);
             scene.pass(25 * Scene.MS);
-            scene.sent.stream().map(Scene.Sent::id).filter(id -> scene.count(id) > scene.ended(id)).toList()
+            scene.sent.stream()
+                    .map(Scene.Sent::id)
+                    .filter(id -> scene.count(id) > scene.ended(id))
+                    .toList()
                     .forEach(id -> scene.end(id, Courier.Result.DELIVERED));
         }
         return scene.sent.size() - before;
@@ -997,8 +1068,9 @@
     @Test
     void aMessageThatMayBeOlderThanItsHostKnowsIsEndedSoMuchEarlier() {
         final Scene scene = new Scene(Scene.settings());
-        scene.control.onMessage(scene.nowUs, new Courier.Message("m", 0, -1, null, scene.nowUs + 4 * Scene.SECOND,
-                Scene.DEST, Scene.SECOND));
+        scene.control.onMessage(
+                scene.nowUs,
+                new Courier.Message("m", 0, -1, null, scene.nowUs + 4 * Scene.SECOND, Scene.DEST, Scene.SECOND));
         scene.control.decide(scene.nowUs);
         scene.pass(3 * Scene.SECOND - 100 * Scene.MS);
         assertEquals(List.of(), scene.refused);
--- a/src/test/java/driftchute/FleetRampTest.java
+++ b/src/test/java/driftchute/FleetRampTest.java
@@ -29,14 +29,15 @@
     private static final double CAPACITY = 12;
     /** The limit that the list tells is the least share of the capacity that the settings' sites have. */
     private static final double LIMIT = CAPACITY / 1.2;
+
     private static final long DOWN_US = 15 * SECOND;
     private static final long END_US = 50 * SECOND;
 
     /** A call that is on its way at the destination. */
-    private record Out(int courier, String id, long untilUs, Courier.Result result) { }
+    private record Out(int courier, String id, long untilUs, Courier.Result result) {}
 
     /** A call that the destination saw, from a courier that had been told of the outage or not. */
-    private record Call(long atUs, boolean told) { }
+    private record Call(long atUs, boolean told) {}
 
     private final List<Scene> fleet = new ArrayList<>();
     private final Deque<Out> out = new ArrayDeque<>();
@@ -44,21 +45,32 @@
     private final List<Call> calls = new ArrayList<>();
     /** Those that had a call fail there during the outage. */
     private final Set<Scene> told = new HashSet<>();
+
     private double room = CAPACITY;
 
     private static Courier.Settings settings(final int couriers) {
-        return new Courier.Settings(couriers, "a", false, Courier.Weights.ROUGH, Courier.Fade.LINEAR,
-                List.of(new Courier.MessageClass("safe", Courier.Effect.SAFE, false, false, 1, 0, SECOND, 8 * SECOND, 0),
-                        new Courier.MessageClass("once", Courier.Effect.UNSAFE, false, false, 2, 0.4, 2 * SECOND,
-                                28 * SECOND, 0)),
-                List.of(), List.of(new Courier.Kind("std", false, 1)),
+        return new Courier.Settings(
+                couriers,
+                "a",
+                false,
+                Courier.Weights.ROUGH,
+                Courier.Fade.LINEAR,
+                List.of(
+                        new Courier.MessageClass(
+                                "safe", Courier.Effect.SAFE, false, false, 1, 0, SECOND, 8 * SECOND, 0),
+                        new Courier.MessageClass(
+                                "once", Courier.Effect.UNSAFE, false, false, 2, 0.4, 2 * SECOND, 28 * SECOND, 0)),
+                List.of(),
+                List.of(new Courier.Kind("std", false, 1)),
                 new Courier.Guarantees(10 * SECOND, COLD_FROM, COLD_US, TIP, 0),
                 new Courier.Limits(8, 40, 8, true, 15 * SECOND, 1, 3 * SECOND));
     }
 
     private Scene begin(final int index, final int couriers, final long life, final double listed) {
         final Scene one = new Scene(settings(couriers), Scene.seed(index + 1000 * (int) life));
-        one.list(Courier.Update.WHOLE, new Courier.Endpoint(1, Courier.Condition.LISTED, "a", listed, 0, Scene.DEST),
+        one.list(
+                Courier.Update.WHOLE,
+                new Courier.Endpoint(1, Courier.Condition.LISTED, "a", listed, 0, Scene.DEST),
                 new Courier.Endpoint(2, Courier.Condition.LISTED, "a", listed, 0, Scene.DEST));
         return one;
     }
@@ -90,8 +102,11 @@
             final Scene.Sent send = one.sent.get(next);
             calls.add(new Call(atUs, told.contains(one)));
             if (warmth == 0) {
-                out.add(new Out(index, send.id(), hangs ? Math.min(atUs + send.timeoutUs(), Long.MAX_VALUE)
-                        : atUs + TICK_US, hangs ? Courier.Result.TIMED_OUT : Courier.Result.NO_CONNECTION));
+                out.add(new Out(
+                        index,
+                        send.id(),
+                        hangs ? Math.min(atUs + send.timeoutUs(), Long.MAX_VALUE) : atUs + TICK_US,
+                        hangs ? Courier.Result.TIMED_OUT : Courier.Result.NO_CONNECTION));
             } else if (room >= 1) {
                 room--;
                 out.add(new Out(index, send.id(), atUs + CALL_US, Courier.Result.DELIVERED));
@@ -118,8 +133,13 @@
     }
 
     /** Plays a day; the result is by how much the calls of the worst span exceed what tips it and chance. */
-    private double play(final int couriers, final long seed, final long downUs, final boolean hangs,
-                        final double listed, final boolean restarts) {
+    private double play(
+            final int couriers,
+            final long seed,
+            final long downUs,
+            final boolean hangs,
+            final double listed,
+            final boolean restarts) {
         final Random random = new Random(seed);
         final double[] shares = shares(couriers, random);
         for (int index = 0; index < couriers; index++) {
@@ -150,7 +170,8 @@
         return worst(upUs);
     }
 
-    private Scene restarted(final Scene old, final int index, final int couriers, final long seed, final double listed) {
+    private Scene restarted(
+            final Scene old, final int index, final int couriers, final long seed, final double listed) {
         final Scene fresh = begin(index + couriers, couriers, seed, listed);
         fresh.pass(old.nowUs - fresh.nowUs);
         return fresh;
@@ -161,7 +182,8 @@
         // Where a third came from couriers that had not been told, a fall is not theirs.
         for (long fromUs = upUs; fromUs < upUs + COLD_US; fromUs += 100_000) {
             final long from = fromUs;
-            final List<Call> span = calls.stream().filter(call -> call.atUs() >= from && call.atUs() < from + FALL_US)
+            final List<Call> span = calls.stream()
+                    .filter(call -> call.atUs() >= from && call.atUs() < from + FALL_US)
                     .toList();
             final double budget = TIP * CAPACITY * warmth(fromUs, upUs) * FALL_US / SECOND;
             final long ours = span.stream().filter(Call::told).count();
@@ -179,9 +201,12 @@
             for (final boolean restarts : new boolean[] {false, true}) {
                 for (int seed = 1; seed <= 6; seed++) {
                     final double listed = (0.5 + 0.5 * (seed % 3)) * LIMIT;
-                    final double over = new FleetRampTest().play(couriers, seed, downS * SECOND, hangs, listed, restarts);
-                    assertTrue(over <= 0, () -> couriers + " couriers, down for " + downS + " s" + (hangs ? ", hung" : "")
-                            + (restarts ? ", seven in ten restarted" : "") + ": over by " + over);
+                    final double over =
+                            new FleetRampTest().play(couriers, seed, downS * SECOND, hangs, listed, restarts);
+                    assertTrue(
+                            over <= 0,
+                            () -> couriers + " couriers, down for " + downS + " s" + (hangs ? ", hung" : "")
+                                    + (restarts ? ", seven in ten restarted" : "") + ": over by " + over);
                 }
             }
         }
--- a/src/test/java/driftchute/LibraryUseTest.java
+++ b/src/test/java/driftchute/LibraryUseTest.java
@@ -35,8 +35,8 @@
     @Test
     void anOutcomeOrAnEndOfAMessageThatIsNotHereIsIgnored() {
         transport.control.onExpired(transport.nowUs, "unknown");
-        transport.control.onOutcome(transport.nowUs,
-                new Courier.Outcome("unknown", Courier.Result.DELIVERED, true, 1, 1, 0, null));
+        transport.control.onOutcome(
+                transport.nowUs, new Courier.Outcome("unknown", Courier.Result.DELIVERED, true, 1, 1, 0, null));
         transport.control.decide(transport.nowUs);
         assertTrue(transport.sent.isEmpty() && transport.failed.isEmpty() && transport.refused.isEmpty());
     }
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -12,7 +12,7 @@
     static final long DEST = 57;
 
     /** A send that was recorded. */
-    record Sent(String id, long endpoint, long timeoutUs, long atUs) { }
+    record Sent(String id, long endpoint, long timeoutUs, long atUs) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
@@ -56,16 +56,29 @@
     /** Settings in which all classes of the tests occur: 0 safe, 1 keyed, 2 unsafe, 3 in turn, 4 keyed by zone. */
     static Courier.Settings settings(final int slots, final int perCall, final boolean apart, final boolean ask) {
         final List<Courier.MessageClass> classes = List.of(
-                kind("safe", Courier.Effect.SAFE, false, false, 2), kind("keyed", Courier.Effect.KEYED, false, false, 1),
-                kind("unsafe", Courier.Effect.UNSAFE, false, false, 1), kind("turn", Courier.Effect.SAFE, false, true, 1),
+                kind("safe", Courier.Effect.SAFE, false, false, 2),
+                kind("keyed", Courier.Effect.KEYED, false, false, 1),
+                kind("unsafe", Courier.Effect.UNSAFE, false, false, 1),
+                kind("turn", Courier.Effect.SAFE, false, true, 1),
                 kind("zoned", Courier.Effect.KEYED, true, false, 1));
         return settings(slots, perCall, apart, ask, Courier.Weights.NONE, classes);
     }
 
-    private static Courier.Settings settings(final int slots, final int perCall, final boolean apart,
-                                             final boolean ask, final Courier.Weights weights,
-                                             final List<Courier.MessageClass> classes) {
-        return new Courier.Settings(2, "a", ask, weights, Courier.Fade.LINEAR, classes, List.of(),
+    private static Courier.Settings settings(
+            final int slots,
+            final int perCall,
+            final boolean apart,
+            final boolean ask,
+            final Courier.Weights weights,
+            final List<Courier.MessageClass> classes) {
+        return new Courier.Settings(
+                2,
+                "a",
+                ask,
+                weights,
+                Courier.Fade.LINEAR,
+                classes,
+                List.of(),
                 List.of(new Courier.Kind("std", apart, perCall)),
                 new Courier.Guarantees(10 * SECOND, 0.2, 10 * SECOND, 2, 3 * SECOND),
                 new Courier.Limits(slots, 40, 8, true, 10 * SECOND, 1, 2 * SECOND));
@@ -83,14 +96,27 @@
     /** As {@link #settings()}, in a fleet of so many couriers. */
     static Courier.Settings fleetOf(final int couriers) {
         final Courier.Settings few = settings();
-        return new Courier.Settings(couriers, few.zone(), few.listOnRequest(), few.weights(), few.fade(),
-                few.classes(), few.tenants(), few.kinds(), few.guarantees(), few.limits());
-    }
-
-    private static Courier.MessageClass kind(final String name, final Courier.Effect effect, final boolean zoneKeyed,
-                                             final boolean inTurn, final double worth) {
-        return new Courier.MessageClass(name, effect, zoneKeyed, inTurn, worth, 0.5, 2 * SECOND, 16 * SECOND,
-                6 * SECOND);
+        return new Courier.Settings(
+                couriers,
+                few.zone(),
+                few.listOnRequest(),
+                few.weights(),
+                few.fade(),
+                few.classes(),
+                few.tenants(),
+                few.kinds(),
+                few.guarantees(),
+                few.limits());
+    }
+
+    private static Courier.MessageClass kind(
+            final String name,
+            final Courier.Effect effect,
+            final boolean zoneKeyed,
+            final boolean inTurn,
+            final double worth) {
+        return new Courier.MessageClass(
+                name, effect, zoneKeyed, inTurn, worth, 0.5, 2 * SECOND, 16 * SECOND, 6 * SECOND);
     }
 
     void list(final Courier.Update update, final Courier.Endpoint... entries) {
@@ -127,23 +153,32 @@
     void tell(final String id, final Courier.Result result, final long waitUs) {
         final Sent last = last(id);
         outcomes.merge(id, 1, Integer::sum);
-        control.onOutcome(nowUs, new Courier.Outcome(id, result, result == Courier.Result.DELIVERED, last.endpoint(),
-                nowUs - last.atUs(), waitUs, null));
+        control.onOutcome(
+                nowUs,
+                new Courier.Outcome(
+                        id,
+                        result,
+                        result == Courier.Result.DELIVERED,
+                        last.endpoint(),
+                        nowUs - last.atUs(),
+                        waitUs,
+                        null));
     }
 
     /** The last attempt of a message is delivered, with a report of the limit. */
     Courier.Outcome outcome(final String id, final Courier.Allowance allowance) {
         final Sent last = last(id);
         outcomes.merge(id, 1, Integer::sum);
-        return new Courier.Outcome(id, Courier.Result.DELIVERED, true, last.endpoint(), nowUs - last.atUs(), 0,
-                allowance);
+        return new Courier.Outcome(
+                id, Courier.Result.DELIVERED, true, last.endpoint(), nowUs - last.atUs(), 0, allowance);
     }
 
     /** Lets time pass, with the reminders that were asked for. */
     void pass(final long us) {
         final long until = nowUs + us;
         while (true) {
-            final long next = reminders.stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+            final long next =
+                    reminders.stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
             if (next > until) {
                 nowUs = until;
                 return;
@@ -156,7 +191,10 @@
     }
 
     Sent last(final String id) {
-        return sent.stream().filter(send -> send.id().equals(id)).reduce((first, second) -> second).orElseThrow();
+        return sent.stream()
+                .filter(send -> send.id().equals(id))
+                .reduce((first, second) -> second)
+                .orElseThrow();
     }
 
     /** Attempts of a message that have their outcome. */
--- a/src/test/java/driftchute/bench/AdapterTest.java
+++ b/src/test/java/driftchute/bench/AdapterTest.java
@@ -51,7 +51,9 @@
     }
 
     private static List<String> sends(final String reply) {
-        return Arrays.stream(reply.split("\n")).filter(line -> line.startsWith("pass_on")).toList();
+        return Arrays.stream(reply.split("\n"))
+                .filter(line -> line.startsWith("pass_on"))
+                .toList();
     }
 
     @Test
@@ -72,7 +74,8 @@
 
     @Test
     void aRestartUnderTheSameNumberInOneBatchForgetsEverything() throws IOException {
-        final String reply = run(batch(1_000_000, enlist(1), sheet(11), warm(1)) + batch(2_000_000, incoming(1, "0a"))
+        final String reply = run(batch(1_000_000, enlist(1), sheet(11), warm(1))
+                + batch(2_000_000, incoming(1, "0a"))
                 + batch(3_000_000, "stop\ti=1\n", enlist(1), sheet(12), warm(1), incoming(1, "0b")));
         final List<String> sends = sends(reply);
         assertEquals(2, sends.size());
@@ -81,8 +84,16 @@
 
     @Test
     void aSheetNumberUsedAgainInOneBatchMeansTheNewerList() throws IOException {
-        final String reply = run(batch(1_000_000, enlist(1), sheet(11), warm(1), enlist(2), sheet(12), warm(2),
-                incoming(1, "0a"), incoming(2, "0b")));
+        final String reply = run(batch(
+                1_000_000,
+                enlist(1),
+                sheet(11),
+                warm(1),
+                enlist(2),
+                sheet(12),
+                warm(2),
+                incoming(1, "0a"),
+                incoming(2, "0b")));
         final List<String> sends = sends(reply);
         assertTrue(sends.get(0).endsWith("endpoint=11") && sends.get(1).endsWith("endpoint=12"), reply);
     }
@@ -90,8 +101,10 @@
     @Test
     void anExpiredAfterTheEndIsIgnored() throws IOException {
         final String reply = run(batch(1_000_000, enlist(1), sheet(11), warm(1), incoming(1, "0a"))
-                + batch(2_000_000, "returned\ti=1\tref=0a\treason=served\tcomplete=1\tendpoint=11\tduration=9\tleg=0\n",
-                "expired\ti=1\tref=0a\n"));
+                + batch(
+                        2_000_000,
+                        "returned\ti=1\tref=0a\treason=served\tcomplete=1\tendpoint=11\tduration=9\tleg=0\n",
+                        "expired\ti=1\tref=0a\n"));
         assertEquals(1, sends(reply).size());
         assertFalse(reply.contains("die"), reply);
     }
@@ -104,19 +117,25 @@
 
     @Test
     void aMalformedLineNamesItsNumberAndReason() {
-        assertEquals("line 1: no '=' in 'nonsense'",
-                assertThrows(MalformedLineException.class, () -> run("batch\tnonsense\n")).getMessage());
-        assertEquals("line 1: 'clock' is no whole number: 'x'",
-                assertThrows(MalformedLineException.class, () -> run("batch\tclock=x\n")).getMessage());
+        assertEquals(
+                "line 1: no '=' in 'nonsense'",
+                assertThrows(MalformedLineException.class, () -> run("batch\tnonsense\n"))
+                        .getMessage());
+        assertEquals(
+                "line 1: 'clock' is no whole number: 'x'",
+                assertThrows(MalformedLineException.class, () -> run("batch\tclock=x\n"))
+                        .getMessage());
         assertThrows(MalformedLineException.class, () -> run(batch(1, "sheet\tbank=0\trows=2\n")));
         assertThrows(MalformedLineException.class, () -> run(batch(1, incoming(9, "0a"))));
     }
 
     @Test
     void settingsWithListsAndAbsentValuesAreRead() {
-        final var settings = SettingsReader.read(Fields.parse("enlist\tflavors=a_b,c\textra.routes_apart=false,true\t"
-                + "extra.per_call=1,5\textra.fades=halving\tweights=rough\tdiscovery=on_request\t"
-                + "tenants.count=1\ttenants.0.name=12\ttenants.0.quota_rps=14.0", 1));
+        final var settings = SettingsReader.read(Fields.parse(
+                "enlist\tflavors=a_b,c\textra.routes_apart=false,true\t"
+                        + "extra.per_call=1,5\textra.fades=halving\tweights=rough\tdiscovery=on_request\t"
+                        + "tenants.count=1\ttenants.0.name=12\ttenants.0.quota_rps=14.0",
+                1));
         assertEquals("a_b", settings.kinds().get(0).name());
         assertTrue(settings.kinds().get(1).routesApart());
         assertEquals(5, settings.kinds().get(1).messagesPerCall());
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -34,6 +34,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -114,8 +115,9 @@
             assertEquals(202, rig.handIn("m1", "brief").status());
             rig.await("the first attempt, which may have run", () -> rig.first.requests.size() == 1);
             final long firstNs = rig.first.requests.get(0).atNs();
-            rig.await("the end of the window", () -> System.nanoTime() - firstNs
-                    > TimeUnit.MILLISECONDS.toNanos(WINDOW_MS));
+            rig.await(
+                    "the end of the window",
+                    () -> System.nanoTime() - firstNs > TimeUnit.MILLISECONDS.toNanos(WINDOW_MS));
             late.open();
             rig.await("its end", () -> rig.noticed("m1", "deferred"));
             assertEquals(List.of(), late.lines, "nothing goes out behind the window");
@@ -125,13 +127,16 @@
 
     @Test
     void aMessageThatSurelyHasNotRunIsHeldForSevenTenthsOfItsTimeHoweverShort() throws IOException {
-        final FakeServer shut = new FakeServer((request, connection) -> { });
+        final FakeServer shut = new FakeServer((request, connection) -> {});
         shut.close();
         rig.hosts = Rig.host("e0", shut, "Ready");
         rig.start();
         final long timeMs = 2000;
         final long handedNs = System.nanoTime();
-        assertEquals(202, rig.send(Rig.message("m1", "once").replace("20000", Long.toString(timeMs))).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("m1", "once").replace("20000", Long.toString(timeMs)))
+                        .status());
         rig.await("its notice", () -> rig.noticed("m1", "deferred"));
         final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - handedNs);
         assertTrue(tookMs >= timeMs * 7 / 10, "given up after " + tookMs + " ms");
@@ -152,7 +157,8 @@
     void aMessageWhoseClientIsGoneAtItsAnswerIsNotSent() throws IOException, Config.BadConfigException {
         final Config config = rig.config();
         final Clock clock = new Clock();
-        final EventLoopGroup group = new PatientLoopGroup(new DefaultThreadFactory("withdrawn"), NioIoHandler.newFactory());
+        final EventLoopGroup group =
+                new PatientLoopGroup(new DefaultThreadFactory("withdrawn"), NioIoHandler.newFactory());
         final EventLoop loop = group.next();
         final Host host = new Host(config, loop, clock);
         loop.execute(() -> {
@@ -163,7 +169,7 @@
                 throw new UncheckedIOException(e);
             }
             host.offer(held("gone", clock), clock.nowUs() + LIFE_US, answered(() -> host.withdraw("gone")));
-            host.offer(held("stays", clock), clock.nowUs() + LIFE_US, answered(() -> { }));
+            host.offer(held("stays", clock), clock.nowUs() + LIFE_US, answered(() -> {}));
         });
         rig.await("the other one's call", () -> rig.first.requests.size() == 1);
         assertEquals(List.of("stays"), rig.first.requests.get(0).ids());
@@ -247,7 +253,8 @@
         warmUp();
         final AtomicBoolean over = new AtomicBoolean();
         final Thread crowd = crowd(over);
-        rig.await("that no descriptor is left", () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
+        rig.await(
+                "that no descriptor is left", () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
         // The descriptor of this watch is free for a moment, and the crowd waits for it.
         rig.watches.get(0).reset();
         rig.await("another watch", () -> rig.watches.size() >= 2);
@@ -267,8 +274,8 @@
         warmUp();
         final AtomicBoolean over = new AtomicBoolean();
         final Thread crowd = crowd(over);
-        rig.await("that no descriptor is left",
-                () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
+        rig.await(
+                "that no descriptor is left", () -> rig.log.stream().anyMatch(line -> line.contains("cannot accept")));
         final String message = Rig.message("m1", "once").replace("20000", "4000");
         assertEquals(202, rig.send(message).status());
         rig.await("its end", () -> rig.noticed("m1", "undeliverable") || rig.noticed("m1", "deferred"));
--- a/src/test/java/driftchute/node/FakeServer.java
+++ b/src/test/java/driftchute/node/FakeServer.java
@@ -29,7 +29,8 @@
 
         /** The messages in a call, of one or of several. */
         List<String> ids() {
-            return line.contains("/inbox/bulk") ? ID.matcher(text()).results().map(found -> found.group(1)).toList()
+            return line.contains("/inbox/bulk")
+                    ? ID.matcher(text()).results().map(found -> found.group(1)).toList()
                     : Stream.ofNullable(header("X-Request-ID")).toList();
         }
 
@@ -100,7 +101,9 @@
         final Map<String, String> headers = new TreeMap<>();
         for (String header = line(in); !header.isEmpty(); header = line(in)) {
             final int colon = header.indexOf(':');
-            headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).trim());
+            headers.put(
+                    header.substring(0, colon).toLowerCase(Locale.ROOT),
+                    header.substring(colon + 1).trim());
         }
         final byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         return new Request(line, headers, body, connection, System.nanoTime());
@@ -140,9 +143,13 @@
 
         /** Takes all messages of a call, as its form asks for. */
         void accept(final Request call) {
-            answer(200, call.line().contains("/inbox/bulk") ? call.ids().stream()
-                    .map(id -> "{\"id\":\"" + id + "\",\"state\":\"accepted\"}")
-                    .collect(Collectors.joining(",", "[", "]")) : "");
+            answer(
+                    200,
+                    call.line().contains("/inbox/bulk")
+                            ? call.ids().stream()
+                                    .map(id -> "{\"id\":\"" + id + "\",\"state\":\"accepted\"}")
+                                    .collect(Collectors.joining(",", "[", "]"))
+                            : "");
         }
 
         void write(final String text) {
--- a/src/test/java/driftchute/node/HandoverTest.java
+++ b/src/test/java/driftchute/node/HandoverTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -44,7 +45,9 @@
     }
 
     private static List<String> idsAt(final FakeServer server) {
-        return server.requests.stream().flatMap(request -> request.ids().stream()).toList();
+        return server.requests.stream()
+                .flatMap(request -> request.ids().stream())
+                .toList();
     }
 
     private static void silentTo(final FakeServer server, final String id) {
@@ -76,7 +79,7 @@
 
     @Test
     void whatWasOutWhenTheOldOneIsKilledMayHaveRun() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "once").status());
         assertEquals(202, rig.handIn("m2", "safe").status());
@@ -92,7 +95,7 @@
     @Test
     void whatIsOutWhenTheOldOneIsKilledWhileItLeavesMayHaveRun() throws IOException, InterruptedException {
         rig.mgmt = true;
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "once").status());
         assertEquals(202, rig.handIn("m2", "safe").status());
@@ -161,7 +164,12 @@
         rig.start();
         final Process old = rig.startBeside();
         assertEquals("+OK\n", rig.call("OFFLINE e1"), "the new one, which only stands by, was called");
-        rig.await("the old one to know", () -> rig.log.stream().filter(line -> line.startsWith("by hand: 1")).count() == 2);
+        rig.await(
+                "the old one to know",
+                () -> rig.log.stream()
+                                .filter(line -> line.startsWith("by hand: 1"))
+                                .count()
+                        == 2);
         assertEquals(202, rig.handIn("m1", "safe").status());
         assertEquals(202, rig.handIn("m2", "safe").status());
         rig.await("their calls", () -> rig.second.requests.size() == 2);
@@ -194,24 +202,31 @@
             final Clock clock = new Clock();
             final Intake intake = new Intake(config, clock, new Host(config, loop, clock));
             loop.submit(() -> {
-                intake.listen(group, loop, shared);
-            }).sync();
+                        intake.listen(group, loop, shared);
+                    })
+                    .sync();
             final InetSocketAddress at = (InetSocketAddress) shared.getLocalAddress();
             try (Socket client = new Socket(at.getAddress(), at.getPort())) {
                 client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
-                assertEquals(200, Rig.send(client, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+                assertEquals(
+                        200,
+                        Rig.send(client, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
             }
             assertNull(shared.accept(), "it was accepted already");
             loop.submit(() -> intake.leave()).sync();
             try (Socket client = new Socket(at.getAddress(), at.getPort())) {
                 client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
-                assertEquals(200, Rig.send(client, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status(),
+                assertEquals(
+                        200,
+                        Rig.send(client, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status(),
                         "nobody waits while the other process is not at the door yet");
             }
             loop.submit(() -> intake.stopAccepting()).sync();
             try (Socket client = new Socket(at.getAddress(), at.getPort());
-                 SocketChannel taken = acceptSoon(shared)) {
-                assertEquals(client.getLocalPort(), ((InetSocketAddress) taken.getRemoteAddress()).getPort(),
+                    SocketChannel taken = acceptSoon(shared)) {
+                assertEquals(
+                        client.getLocalPort(),
+                        ((InetSocketAddress) taken.getRemoteAddress()).getPort(),
                         "left to whoever accepts next");
             }
         } finally {
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -71,12 +71,14 @@
         final byte[] all = Files.readAllBytes(file);
         for (int cut = 1; cut < 60; cut++) {
             Files.write(file, Arrays.copyOf(all, all.length - cut));
-            assertEquals(List.of("whole"), reopened().stream().map(one -> one.id).toList());
+            assertEquals(
+                    List.of("whole"), reopened().stream().map(one -> one.id).toList());
         }
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             assertTrue(journal.take(held("next", 50)));
         }
-        assertEquals(List.of("whole", "next"), reopened().stream().map(one -> one.id).toList());
+        assertEquals(
+                List.of("whole", "next"), reopened().stream().map(one -> one.id).toList());
     }
 
     @Test
