--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -44,14 +45,18 @@
     }
 
     private static List<String> idsAt(final FakeServer server) {
-        return server.requests.stream().flatMap(request -> request.ids().stream()).toList();
+        return server.requests.stream()
+                .flatMap(request -> request.ids().stream())
+                .toList();
     }
 
     @Test
     void takesAMessageOnAndDeliversItUnchanged() throws IOException {
         rig.start();
         assertEquals(200, rig.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
-        assertEquals(202, rig.send(Rig.message("m1", "keyed", "\u00ff\u0000 any bytes")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("m1", "keyed", "\u00ff\u0000 any bytes")).status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
         final FakeServer.Request call = rig.first.requests.get(0);
         assertEquals("POST /inbox HTTP/1.1", call.line());
@@ -66,7 +71,7 @@
 
     @Test
     void aSafeMessageThatWasOutAtAKillGoesAgain() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
@@ -76,7 +81,12 @@
         assertEquals(List.of("m1", "m1"), idsAt(rig.first));
         // Another call on the same connection shows that the answer to the second one has been read.
         final FakeServer.Connection used = rig.first.requests.get(1).connection();
-        for (int count = 0; rig.first.requests.stream().filter(one -> one.connection() == used).count() < 2; count++) {
+        for (int count = 0;
+                rig.first.requests.stream()
+                                .filter(one -> one.connection() == used)
+                                .count()
+                        < 2;
+                count++) {
             final String id = "more" + count;
             assertEquals(202, rig.handIn(id, "safe").status());
             rig.await(id, () -> idsAt(rig.first).contains(id));
@@ -89,7 +99,7 @@
 
     @Test
     void aKeyedMessageGoesAgainAfterAKillWhileItsKeyIsHeld() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "keyed").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
@@ -101,9 +111,12 @@
 
     @Test
     void aKeyedMessageWithoutAKeyOfItsOwnGoesByItsId() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
-        assertEquals(202, rig.send(Rig.message("m1", "keyed").replace("Idempotency-Key: key-m1\r\n", "")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("m1", "keyed").replace("Idempotency-Key: key-m1\r\n", ""))
+                        .status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
         rig.first.script((request, connection) -> connection.accept(request));
         rig.killAndRestart();
@@ -113,7 +126,7 @@
 
     @Test
     void aKeyedMessageWhoseKeyMayBeForgottenDoesNotGoAgain() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "brief").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
@@ -128,7 +141,7 @@
 
     @Test
     void anUnsafeMessageThatWasOutAtAKillIsFailed() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "once").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
@@ -160,7 +173,7 @@
 
     @Test
     void onSigtermItServesOnForAWhileAndEndsBeforeTheKill() throws IOException, InterruptedException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         final Socket idle = rig.connect();
         assertEquals(202, Rig.send(idle, Rig.message("m1", "safe")).status());
@@ -178,8 +191,12 @@
         rig.first.script((request, connection) -> connection.accept(request));
         final int before = rig.first.requests.size();
         rig.start();
-        rig.await("what was held goes on", () -> idsAt(rig.first).stream().skip(before)
-                .collect(Collectors.toSet()).containsAll(List.of("m1", "m2")));
+        rig.await(
+                "what was held goes on",
+                () -> idsAt(rig.first).stream()
+                        .skip(before)
+                        .collect(Collectors.toSet())
+                        .containsAll(List.of("m1", "m2")));
     }
 
     // ---------------------------------------------------------------- calls
@@ -189,7 +206,9 @@
         final List<Boolean> closedBefore = new ArrayList<>();
         rig.first.script((request, connection) -> {
             if (rig.first.requests.size() > 1) {
-                rig.await("the first connection's end", () -> rig.first.requests.get(0).connection().ended);
+                rig.await(
+                        "the first connection's end",
+                        () -> rig.first.requests.get(0).connection().ended);
                 closedBefore.add(true);
                 connection.answer(200, "");
             }
@@ -202,7 +221,7 @@
 
     @Test
     void anUnsafeMessageIsTriedAgainOnlyWhereTheFirstTryNeverCameUp() throws IOException {
-        final FakeServer shut = new FakeServer((request, connection) -> { });
+        final FakeServer shut = new FakeServer((request, connection) -> {});
         shut.close();
         rig.hosts = Rig.host("e0", shut, "Ready");
         rig.start();
@@ -241,8 +260,11 @@
 
     @Test
     void aDeliveredMessageStaysDeliveredIfTheRestOfItsAnswerCannotBeRead() throws IOException {
-        final List<String> rests = List.of("what is this\u0000\r\n\r\n", "Content-Length: 5\r\nContent-Length: 7\r\n\r\n",
-                "Content-Length: many\r\n\r\n", "X-Long: " + "x".repeat(20_000) + "\r\n\r\n",
+        final List<String> rests = List.of(
+                "what is this\u0000\r\n\r\n",
+                "Content-Length: 5\r\nContent-Length: 7\r\n\r\n",
+                "Content-Length: many\r\n\r\n",
+                "X-Long: " + "x".repeat(20_000) + "\r\n\r\n",
                 "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
         rig.first.script((request, connection) -> {
             final String id = request.header("X-Request-ID");
@@ -285,9 +307,12 @@
 
     @Test
     void aDeliveredMessageStaysDeliveredIfTheBodyOfItsAnswerNeverEnds() throws IOException {
-        rig.first.script((request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf"));
+        rig.first.script(
+                (request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf"));
         rig.start();
-        assertEquals(202, rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
         assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
         rig.await("the next of its key", () -> idsAt(rig.first).contains("m2"));
         assertTrue(rig.notices.isEmpty(), "the first was delivered: " + rig.notices);
@@ -297,8 +322,12 @@
     void aDeliveredMessageStaysDeliveredIfTheHeadOfItsAnswerNeverEnds() throws IOException {
         rig.first.script((request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Le"));
         rig.start();
-        assertEquals(202, rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
-        assertEquals(202, rig.send(Rig.inTurn("m2", "team-1").replace("20000", "5000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.inTurn("m2", "team-1").replace("20000", "5000")).status());
         rig.await("the next of its key", () -> idsAt(rig.first).contains("m2"));
         assertTrue(rig.notices.isEmpty(), "the first was delivered: " + rig.notices);
     }
@@ -320,8 +349,8 @@
         rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
         final List<Long> toldNs = new ArrayList<>();
         final List<Long> laterNs = new ArrayList<>();
-        final var script = (java.util.function.BiConsumer<FakeServer.Request, FakeServer.Connection>)
-                (request, connection) -> {
+        final var script =
+                (java.util.function.BiConsumer<FakeServer.Request, FakeServer.Connection>) (request, connection) -> {
                     synchronized (toldNs) {
                         if (toldNs.isEmpty()) {
                             toldNs.add(System.nanoTime());
@@ -347,9 +376,10 @@
 
     @Test
     void aWaitBindsThatWasOnItsWayWhenItsCallWasGivenUp() throws IOException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
-        assertEquals(202, rig.send(Rig.message("m1", "once").replace("20000", "400")).status());
+        assertEquals(
+                202, rig.send(Rig.message("m1", "once").replace("20000", "400")).status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
         final FakeServer.Connection given = rig.first.connections.get(0);
         rig.await("the call to be given up", () -> given.ended);
@@ -358,7 +388,8 @@
         given.answer(429, "", "Retry-After: 1.5");
         assertEquals(202, rig.handIn("m2", "safe").status());
         rig.await("what waited", () -> idsAt(rig.first).contains("m2"));
-        final long tookMs = TimeUnit.NANOSECONDS.toMillis(rig.first.requests.get(1).atNs() - toldNs);
+        final long tookMs =
+                TimeUnit.NANOSECONDS.toMillis(rig.first.requests.get(1).atNs() - toldNs);
         assertTrue(tookMs >= 1500, "sent after " + tookMs);
     }
 
@@ -377,33 +408,42 @@
         });
         assertEquals(202, rig.handIn("wait", "brief").status());
         rig.await("the wait", () -> idsAt(rig.first).contains("wait"));
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         assertEquals(202, rig.handIn("long", "once").status());
-        assertEquals(202, rig.send(Rig.message("short", "safe").replace("20000", "6000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("short", "safe").replace("20000", "6000")).status());
         rig.await("its notice", () -> rig.noticed("short", "deferred"));
         assertFalse(rig.noticed("long", "undeliverable"), "its call still goes on");
         assertEquals(1, idsAt(rig.first).stream().filter("short"::equals).count());
-        assertTrue(rig.first.requests.stream().anyMatch(request -> request.ids().containsAll(List.of("long", "short"))),
+        assertTrue(
+                rig.first.requests.stream().anyMatch(request -> request.ids().containsAll(List.of("long", "short"))),
                 "the two went in one call: " + idsAt(rig.first));
     }
 
     @Test
     void theMessageThatLivesLongestLeadsASharedCall() throws IOException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         // The two take the window, so that the next three wait and go together when it has room again.
         for (final String id : List.of("a", "b")) {
             assertEquals(202, rig.handIn(id, "once").status());
             rig.await(id, () -> idsAt(rig.first).contains(id));
         }
-        assertEquals(202, rig.send(Rig.message("short", "once").replace("20000", "10000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("short", "once").replace("20000", "10000")).status());
         assertEquals(202, rig.handIn("long", "once").status());
-        assertEquals(202, rig.send(Rig.message("middle", "once").replace("20000", "15000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("middle", "once").replace("20000", "15000"))
+                        .status());
         for (final FakeServer.Request request : List.copyOf(rig.first.requests)) {
             request.connection().accept(request);
         }
         rig.await("the shared call", () -> idsAt(rig.first).size() == 5);
-        assertEquals(List.of("long", "middle", "short"), rig.first.requests.get(2).ids());
+        assertEquals(
+                List.of("long", "middle", "short"), rig.first.requests.get(2).ids());
     }
 
     @Test
@@ -421,14 +461,17 @@
             rig.await(id, () -> idsAt(rig.first).contains(id));
         }
         assertEquals(202, rig.handIn("long", "once").status());
-        assertEquals(202, rig.send(Rig.inTurn("m1", "k").replace("20000", "4000")).status());
+        assertEquals(
+                202, rig.send(Rig.inTurn("m1", "k").replace("20000", "4000")).status());
         assertEquals(202, rig.send(Rig.inTurn("m2", "k")).status());
         for (final FakeServer.Request request : List.copyOf(rig.first.requests)) {
             request.connection().accept(request);
         }
         rig.await("the end of the first", () -> rig.noticed("m1", "undeliverable"));
         final FakeServer.Request shared = rig.first.requests.stream()
-                .filter(request -> request.ids().containsAll(List.of("long", "m1"))).findFirst().orElseThrow();
+                .filter(request -> request.ids().containsAll(List.of("long", "m1")))
+                .findFirst()
+                .orElseThrow();
         assertFalse(idsAt(rig.first).contains("m2"), "the first is still out");
         shared.connection().accept(shared);
         rig.await("its turn", () -> idsAt(rig.first).contains("m2"));
@@ -440,8 +483,10 @@
         rig.first.script((request, connection) -> {
             if (request.line().contains("/inbox/bulk")) {
                 bulks.add(request);
-                connection.answer(200, "[{\"id\":\"ok\",\"state\":\"accepted\"},{\"id\":\"bad\",\"state\":\"fault\"},"
-                        + "{\"id\":\"off\",\"state\":\"deferred\"},{\"id\":\"old\",\"state\":\"expired\"}]");
+                connection.answer(
+                        200,
+                        "[{\"id\":\"ok\",\"state\":\"accepted\"},{\"id\":\"bad\",\"state\":\"fault\"},"
+                                + "{\"id\":\"off\",\"state\":\"deferred\"},{\"id\":\"old\",\"state\":\"expired\"}]");
             } else if (rig.first.requests.size() == 1) {
                 connection.answer(429, "", "Retry-After: 1");
             } else {
@@ -454,17 +499,26 @@
         for (final String id : List.of("ok", "bad", "old")) {
             assertEquals(202, rig.handIn(id, "brief").status());
         }
-        rig.await("all ends", () -> rig.noticed("bad", "deferred") && rig.first.requests.size() >= 3
-                && "off".equals(rig.first.requests.get(rig.first.requests.size() - 1).header("X-Request-ID")));
+        rig.await(
+                "all ends",
+                () -> rig.noticed("bad", "deferred")
+                        && rig.first.requests.size() >= 3
+                        && "off"
+                                .equals(rig.first
+                                        .requests
+                                        .get(rig.first.requests.size() - 1)
+                                        .header("X-Request-ID")));
         assertEquals(1, bulks.size());
-        assertTrue(bulks.get(0).text().contains("\"body\":\"aGVsbG8=\""), bulks.get(0).text());
+        assertTrue(
+                bulks.get(0).text().contains("\"body\":\"aGVsbG8=\""),
+                bulks.get(0).text());
         rig.await("an end for the one said to be over, which does no harm", () -> rig.noticed("old", "undeliverable"));
         assertEquals(2, rig.notices.size(), "those and no others: " + rig.notices);
     }
 
     @Test
     void messagesOfOneKeyGoOneAtATimeInTheOrderHandedIn() throws IOException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.send(Rig.inTurn("m1", "team-1")).status());
         assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
@@ -513,24 +567,33 @@
         rig.first.script((request, connection) -> connection.reset());
         rig.start();
         assertEquals(202, rig.handIn("m1", "once").status());
-        rig.await("its line", () -> rig.log.stream().anyMatch(line -> line.startsWith("message m1 once to 7 failed")
-                && line.contains("1 attempts") && line.contains("last RESET")));
+        rig.await(
+                "its line",
+                () -> rig.log.stream()
+                        .anyMatch(line -> line.startsWith("message m1 once to 7 failed")
+                                && line.contains("1 attempts")
+                                && line.contains("last RESET")));
     }
 
     @Test
     void theAnswerToACallOfSeveralIsReadAsSuchWhenTheTimeOfSomeIsUp() throws IOException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("gate1", "once").status());
         assertEquals(202, rig.handIn("gate2", "once").status());
         rig.await("a full window", () -> rig.first.requests.size() == 2);
-        assertEquals(202, rig.send(Rig.message("short", "once").replace("20000", "3000")).status());
+        assertEquals(
+                202,
+                rig.send(Rig.message("short", "once").replace("20000", "3000")).status());
         assertEquals(202, rig.handIn("long", "once").status());
         rig.first.requests.get(0).connection().answer(200, "");
         rig.await("the call of several", () -> rig.first.requests.size() == 3);
         rig.await("the first one's end", () -> rig.noticed("short", "undeliverable"));
-        rig.first.requests.get(2).connection().answer(200, "[{\"id\":\"short\",\"state\":\"accepted\"},"
-                + "{\"id\":\"long\",\"state\":\"fault\"}]");
+        rig.first
+                .requests
+                .get(2)
+                .connection()
+                .answer(200, "[{\"id\":\"short\",\"state\":\"accepted\"}," + "{\"id\":\"long\",\"state\":\"fault\"}]");
         rig.await("the other's end by its own state", () -> rig.noticed("long", "undeliverable"));
     }
 
@@ -542,7 +605,8 @@
         rig.start();
         rig.await("the watch", () -> !rig.watches.isEmpty());
         // In pieces: a line may come in several reads.
-        final String line = "{\"seq\":42,\"whole\":false,\"hosts\":[" + Rig.host("e1", rig.first, "Terminating") + "]}\n";
+        final String line =
+                "{\"seq\":42,\"whole\":false,\"hosts\":[" + Rig.host("e1", rig.first, "Terminating") + "]}\n";
         rig.watches.get(0).chunk(line.substring(0, 30));
         rig.watches.get(0).chunk(line.substring(30));
         rig.change(43, Rig.host("e3", rig.first, "Gone"));
@@ -560,7 +624,7 @@
     @Test
     void whatWasToldWhileNoProcessRanHoldsFromTheFirstCallOn() throws IOException, InterruptedException {
         rig.discovery = "pushed";
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         for (int count = 0; count < 3; count++) {
             assertEquals(202, rig.handIn("m" + count, "safe").status());
@@ -617,7 +681,9 @@
             rig.await("the watch", () -> !rig.watches.isEmpty());
             assertEquals(202, rig.handIn("m1", "once").status());
             rig.change(42, Rig.host("e1", address, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
-            rig.await("a call elsewhere, long before the connection gives up", () -> idsAt(rig.second).contains("m1"));
+            rig.await(
+                    "a call elsewhere, long before the connection gives up",
+                    () -> idsAt(rig.second).contains("m1"));
         });
     }
 
@@ -627,7 +693,9 @@
         whileConnecting(address -> {
             rig.hosts = Rig.host("e1", address, "Ready");
             rig.start();
-            assertEquals(202, rig.send(Rig.message("m1", "once").replace("20000", "2000")).status());
+            assertEquals(
+                    202,
+                    rig.send(Rig.message("m1", "once").replace("20000", "2000")).status());
             rig.await("its notice", () -> rig.notices.stream().anyMatch(line -> line.contains("\"m1\"")));
             assertTrue(rig.noticed("m1", "deferred"), "it may come again: " + rig.notices);
         });
@@ -673,11 +741,18 @@
         try (FakeServer moved = new FakeServer(rig::platform)) {
             rig.reload(moved);
             rig.await("the watch at the new address", () -> rig.watches.size() == 2);
-            assertTrue(moved.requests.get(0).line().contains("after=41"), moved.requests.get(0).line());
+            assertTrue(
+                    moved.requests.get(0).line().contains("after=41"),
+                    moved.requests.get(0).line());
             assertEquals(202, rig.handIn("m2", "once").status());
-            rig.await("a notice to the new address", () -> moved.requests.stream()
-                    .anyMatch(request -> request.line().startsWith("POST") && request.text().contains("m2")));
-            rig.await("the old connections' end", () -> rig.platform.connections.stream().allMatch(one -> one.ended));
+            rig.await(
+                    "a notice to the new address",
+                    () -> moved.requests.stream()
+                            .anyMatch(request -> request.line().startsWith("POST")
+                                    && request.text().contains("m2")));
+            rig.await(
+                    "the old connections' end",
+                    () -> rig.platform.connections.stream().allMatch(one -> one.ended));
         }
         assertTrue(rig.isAlive());
     }
@@ -722,28 +797,39 @@
     void whatCannotBeReadOrUsedIsAnsweredAndNothingIsTaken() throws IOException {
         rig.start();
         final String good = Rig.message("bad", "keyed");
-        final List<String> bad = List.of("what is this\r\n\r\n",
-                good.replace("POST /keyed", "POST /unheard"), good.replace("POST", "GET"),
+        final List<String> bad = List.of(
+                "what is this\r\n\r\n",
+                good.replace("POST /keyed", "POST /unheard"),
+                good.replace("POST", "GET"),
                 good.replace("X-Priority-Class: keyed", "X-Priority-Class: safe"),
-                good.replace("X-Request-ID: bad\r\n", ""), good.replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: soon"),
-                good.replace("20000", "-1"), good.replace("dest=7", "dest=x"), good.replace("X-Consignee: dest=7\r\n", ""),
+                good.replace("X-Request-ID: bad\r\n", ""),
+                good.replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: soon"),
+                good.replace("20000", "-1"),
+                good.replace("dest=7", "dest=x"),
+                good.replace("X-Consignee: dest=7\r\n", ""),
                 good.replace("Length: 5", "Length: -5"),
                 good.replace("Length: 5", "Length: 99999999999999999999"),
                 Rig.message("bad", "keyed", "x".repeat((1 << 16) + 1)),
                 good.replace("X-Request-ID: bad", "X-Request-ID: bad\r\nX-Request-ID: other"),
-                good.replace("Host: backend.local\r\n", ""), good.replace("POST /keyed", "POST /keyed/more"),
-                good.replace("POST /keyed", "POST /keyed?v=1"), good.replace("POST /keyed", "POST keyed"),
-                Rig.inTurn("bad", "k?v=1"), Rig.inTurn("bad", "k/more"), Rig.inTurn("bad", "k%20"),
+                good.replace("Host: backend.local\r\n", ""),
+                good.replace("POST /keyed", "POST /keyed/more"),
+                good.replace("POST /keyed", "POST /keyed?v=1"),
+                good.replace("POST /keyed", "POST keyed"),
+                Rig.inTurn("bad", "k?v=1"),
+                Rig.inTurn("bad", "k/more"),
+                Rig.inTurn("bad", "k%20"),
                 good.replace("Content-Length: 5", "Transfer-Encoding: chunked\r\nContent-Length: 5"),
                 "GET /" + "x".repeat(20_000) + " HTTP/1.1\r\n\r\n",
                 good.replace("Host: backend.local", "Host: " + "x".repeat(20_000)));
         for (final String raw : bad) {
             final int status = rig.send(raw).status();
-            assertTrue(status >= 400 && status < 500, status + " for " + raw.lines().limit(8).toList());
+            assertTrue(
+                    status >= 400 && status < 500,
+                    status + " for " + raw.lines().limit(8).toList());
         }
         try (Socket half = rig.connect()) {
-            half.getOutputStream().write(good.substring(0, good.length() - 2).getBytes(
-                    java.nio.charset.StandardCharsets.ISO_8859_1));
+            half.getOutputStream()
+                    .write(good.substring(0, good.length() - 2).getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
         }
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the good one", () -> rig.first.requests.size() == 1);
@@ -799,7 +885,8 @@
     @Test
     void theLargestBodyIsTaken() throws IOException {
         rig.start();
-        assertEquals(202, rig.send(Rig.message("m1", "safe", "x".repeat(1 << 16))).status());
+        assertEquals(
+                202, rig.send(Rig.message("m1", "safe", "x".repeat(1 << 16))).status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
         assertEquals(1 << 16, rig.first.requests.get(0).body().length);
     }
@@ -808,8 +895,8 @@
     void requestsThatComeTogetherAreAnsweredInTheirOrder() throws IOException {
         rig.start();
         try (Socket socket = rig.connect()) {
-            final String three = Rig.message("m1", "safe") + "GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
-                    + Rig.message("m2", "unheard");
+            final String three =
+                    Rig.message("m1", "safe") + "GET /up HTTP/1.1\r\nHost: x\r\n\r\n" + Rig.message("m2", "unheard");
             assertEquals(202, Rig.send(socket, three).status());
             assertEquals(200, Rig.read(socket.getInputStream()).status());
             assertEquals(404, Rig.read(socket.getInputStream()).status());
@@ -818,7 +905,7 @@
 
     @Test
     void anIdThatIsHeldAlreadyIsNotTakenTwice() throws IOException {
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         assertEquals(409, rig.handIn("m1", "safe").status());
@@ -827,7 +914,7 @@
     @Test
     void aFullStoreRefusesInsteadOfLosing() throws IOException {
         rig.maxOpen = 3;
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         final List<Integer> statuses = new ArrayList<>();
         for (int count = 0; count < 8; count++) {
@@ -843,11 +930,12 @@
     @Test
     void aFullJournalRefusesInsteadOfPromising() throws IOException {
         rig.diskMb = 1;
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         final List<Integer> statuses = new ArrayList<>();
         for (int count = 0; count < 20; count++) {
-            statuses.add(rig.send(Rig.message("m" + count, "once", "x".repeat(50_000))).status());
+            statuses.add(rig.send(Rig.message("m" + count, "once", "x".repeat(50_000)))
+                    .status());
         }
         assertEquals(202, statuses.get(0));
         assertEquals(503, statuses.get(statuses.size() - 1));
@@ -875,13 +963,16 @@
         rig.hosts = Rig.host("e8", "nowhere", "Ready") + "," + good;
         rig.start();
         rig.await("the watch", () -> rig.watches.size() == 1);
-        rig.change(42, Rig.host("e9", rig.second, "Unwell") + ",{\"host\":\"e7\"},17," + Rig.host("e2", rig.second, "Ready")
-                + "," + Rig.host("e1", "nowhere", "Terminating"));
+        rig.change(
+                42,
+                Rig.host("e9", rig.second, "Unwell") + ",{\"host\":\"e7\"},17," + Rig.host("e2", rig.second, "Ready")
+                        + "," + Rig.host("e1", "nowhere", "Terminating"));
         rig.await("the change", () -> rig.log.stream().anyMatch(line -> line.startsWith("the list at 42")));
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call where the change was good", () -> rig.second.requests.size() == 1);
         assertEquals(0, rig.first.requests.size(), "what drains is heeded though its address cannot be read");
-        assertEquals(1, rig.log.stream().filter(line -> line.contains("'nowhere'")).count(), rig.log.toString());
+        assertEquals(
+                1, rig.log.stream().filter(line -> line.contains("'nowhere'")).count(), rig.log.toString());
     }
 
     @Test
@@ -892,7 +983,11 @@
         final long fromNs = System.nanoTime();
         rig.await("watches", () -> rig.watches.size() == 4);
         assertTrue(System.nanoTime() - fromNs > TimeUnit.MILLISECONDS.toNanos(300 + 600 + 1200), "the gaps grow");
-        assertEquals(1, rig.log.stream().filter(line -> line.contains("the list cannot be read")).count());
+        assertEquals(
+                1,
+                rig.log.stream()
+                        .filter(line -> line.contains("the list cannot be read"))
+                        .count());
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
     }
@@ -900,22 +995,32 @@
     @Test
     void anAbsurdReportIsIgnoredAndSaidOnce() throws IOException {
         rig.start();
-        for (final String load : List.of("x0=nan,x1=4", "x0=0.5,x1=-3", "x0=0.5", "what", "x0=7,x1=Infinity", "x0=0.5,x1=0.000001")) {
-            rig.first.script((request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Server-Load: "
-                    + load + "\r\n\r\n"));
+        for (final String load :
+                List.of("x0=nan,x1=4", "x0=0.5,x1=-3", "x0=0.5", "what", "x0=7,x1=Infinity", "x0=0.5,x1=0.000001")) {
+            rig.first.script((request, connection) ->
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Server-Load: " + load + "\r\n\r\n"));
             final int before = rig.first.requests.size();
             assertEquals(202, rig.handIn("m" + before, "safe").status());
             rig.await("the call after " + before, () -> rig.first.requests.size() == before + 1);
         }
-        assertEquals(1, rig.log.stream().filter(line -> line.contains("reports what no limit")).count(), rig.log.toString());
+        assertEquals(
+                1,
+                rig.log.stream()
+                        .filter(line -> line.contains("reports what no limit"))
+                        .count(),
+                rig.log.toString());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"\"balancers\":0", "\"balancers\":-3", "\"balancers\":\"many\"", "\"balancers\":99999999999"})
+    @ValueSource(
+            strings = {"\"balancers\":0", "\"balancers\":-3", "\"balancers\":\"many\"", "\"balancers\":99999999999"})
     void anAbsurdSizeOfTheFleetIsBounded(final String size) throws IOException {
         rig.fleet = size;
         rig.start();
-        assertEquals(1, rig.log.stream().filter(line -> line.startsWith("a fleet of")).count(), rig.log.toString());
+        assertEquals(
+                1,
+                rig.log.stream().filter(line -> line.startsWith("a fleet of")).count(),
+                rig.log.toString());
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.first.requests.size() == 1);
     }
@@ -963,10 +1068,14 @@
             final long apartMs = sendSlowly(socket, Rig.message("m1", "once"), 900);
             assertEquals(202, Rig.read(socket.getInputStream()).status());
             rig.await("the call", () -> idsAt(rig.first).contains("m1"));
-            final FakeServer.Request call = rig.first.requests.stream().filter(one -> one.ids().contains("m1"))
-                    .findFirst().orElseThrow();
+            final FakeServer.Request call = rig.first.requests.stream()
+                    .filter(one -> one.ids().contains("m1"))
+                    .findFirst()
+                    .orElseThrow();
             // Some of the time between the parts may pass before the first one is read.
-            assertTrue(Long.parseLong(call.header("X-Timeout-Ms")) <= 20_000 - apartMs / 2, call.headers().toString());
+            assertTrue(
+                    Long.parseLong(call.header("X-Timeout-Ms")) <= 20_000 - apartMs / 2,
+                    call.headers().toString());
         }
     }
 
--- a/src/test/java/driftchute/node/OperatorsTest.java
+++ b/src/test/java/driftchute/node/OperatorsTest.java
@@ -24,6 +24,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -80,7 +81,7 @@
         rig.first.script((request, connection) -> connection.reset());
         assertEquals(202, rig.handIn("m2", "once").status());
         rig.awaitFigure("results.once.aborted", 1);
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         assertEquals(202, rig.handIn("m3", "keyed").status());
         rig.awaitFigure("outstanding", 1);
         rig.awaitFigure("forwards", rig.first.requests.size());
@@ -91,7 +92,7 @@
     @Test
     void whatIsTurnedAwayAtAFullStoreCountsAsDeclined() throws IOException {
         rig.maxOpen = 3;
-        rig.first.script((request, connection) -> { });
+        rig.first.script((request, connection) -> {});
         rig.start();
         for (int count = 0; count < 5; count++) {
             rig.handIn("m" + count, "once");
@@ -134,8 +135,11 @@
         for (int count = 0; count < messages; count++) {
             final String id = prefix + count;
             assertEquals(202, rig.handIn(id, "safe").status());
-            rig.await(id, () -> Stream.of(rig.first, rig.second).flatMap(at -> at.requests.stream())
-                    .anyMatch(request -> request.ids().contains(id)));
+            rig.await(
+                    id,
+                    () -> Stream.of(rig.first, rig.second)
+                            .flatMap(at -> at.requests.stream())
+                            .anyMatch(request -> request.ids().contains(id)));
         }
     }
 
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -23,16 +23,18 @@
     static final long PATIENCE_S = 20;
     private static final String CLASSES = """
             [{"name":"safe","effect":"pure","target":5000000,"deadline":20000000,"points":1.0},
-             {"name":"keyed","effect":"token","group":"all","dedup_window":10000000,"target":5000000,"deadline":20000000},
+             {"name":"keyed","effect":"token","group":"all","dedup_window":10000000,
+               "target":5000000,"deadline":20000000},
              {"name":"brief","effect":"token","group":"all","dedup_window":300000,"target":5000000,"deadline":20000000},
              {"name":"once","effect":"side_effect","target":5000000,"deadline":20000000},
              {"name":"turn","effect":"side_effect","in_turn":true,"target":5000000,"deadline":20000000}]""";
 
     /** What a client was answered. */
-    record Answer(int status, String head) { }
+    record Answer(int status, String head) {}
 
     /** The platform's notices, a line each. */
     final List<String> notices = new CopyOnWriteArrayList<>();
+
     final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
     final FakeServer platform;
     final FakeServer first = new FakeServer((request, connection) -> connection.accept(request));
@@ -52,10 +54,12 @@
     String before = "";
     /** Whether the courier has a second address. */
     boolean mgmt;
+
     long connectTimeoutUs = 1_000_000;
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
     String hosts;
+
     private final Path folder;
     private final List<Process> processes = new ArrayList<>();
     private Process process;
@@ -144,8 +148,12 @@
 
     /** The port at the end of the first line of the log that says so, or 0. */
     private int portIn(final String words, final int from) {
-        return log.stream().skip(from).filter(line -> line.contains(words)).findFirst()
-                .map(line -> Integer.parseInt(line.substring(line.lastIndexOf(':') + 1))).orElse(0);
+        return log.stream()
+                .skip(from)
+                .filter(line -> line.contains(words))
+                .findFirst()
+                .map(line -> Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)))
+                .orElse(0);
     }
 
     /** An operator's call: what is answered, to the end of the connection. */
@@ -165,8 +173,12 @@
 
     /** One of the figures that operators fetch, or -1. */
     long figure(final String name) throws IOException {
-        return call("DUMP").lines().filter(line -> line.startsWith("edge_proxy." + name + "=")).findFirst()
-                .map(line -> Long.parseLong(line.substring(line.indexOf('=') + 1))).orElse(-1L);
+        return call("DUMP")
+                .lines()
+                .filter(line -> line.startsWith("edge_proxy." + name + "="))
+                .findFirst()
+                .map(line -> Long.parseLong(line.substring(line.indexOf('=') + 1)))
+                .orElse(-1L);
     }
 
     /** Writes the file of the configuration, with that platform in it. */
@@ -180,15 +192,28 @@
                   "classes":%s,"flavors":["std"],"extra":{"calls_out":12,"per_call":[5],"routes_apart":[false]},
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
-                   "connect_timeout":%d,"max_retry_after":2000000},%s}}"""
-                .formatted(mgmt ? "\"mgmt\":\"127.0.0.1:0\"," : "", at.address(), sockets, diskMb, hosts, fleet, discovery, CLASSES, maxOpen, connectTimeoutUs, extraSetting));
+                   "connect_timeout":%d,"max_retry_after":2000000},%s}}""".formatted(
+                        mgmt ? "\"mgmt\":\"127.0.0.1:0\"," : "",
+                        at.address(),
+                        sockets,
+                        diskMb,
+                        hosts,
+                        fleet,
+                        discovery,
+                        CLASSES,
+                        maxOpen,
+                        connectTimeoutUs,
+                        extraSetting));
         return config;
     }
 
     /** The configuration as a process of this rig reads it. */
     Config config() throws IOException, Config.BadConfigException {
-        return Config.read(java.util.Map.of("PROXY_CONFIG", configure(platform).toString(),
-                "PROXY_STATE", folder.resolve("state").toString()));
+        return Config.read(java.util.Map.of(
+                "PROXY_CONFIG",
+                configure(platform).toString(),
+                "PROXY_STATE",
+                folder.resolve("state").toString()));
     }
 
     /** Replaces the configuration and sends SIGHUP. */
@@ -209,7 +234,8 @@
 
     /** Sends a signal to the process: STOP and CONT hold it, and let it go on, at a moment of the test's choice. */
     void signal(final String name) throws IOException, InterruptedException {
-        assertTrue(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start()
+        assertTrue(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
                 .waitFor(PATIENCE_S, TimeUnit.SECONDS));
     }
 
@@ -220,8 +246,13 @@
     /** Starts the program without waiting for anything. */
     Process launch() throws IOException {
         final Path config = configure(platform);
-        final List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+        final List<String> command = new ArrayList<>(List.of(
+                System.getProperty("java.home") + "/bin/java",
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
                 "driftchute.node.Main"));
         if (!before.isEmpty()) {
             command.addAll(0, List.of("/bin/sh", "-c", before + "; exec \"$0\" \"$@\""));
@@ -232,8 +263,8 @@
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
         process = builder.redirectErrorStream(true).start();
         processes.add(process);
-        final BufferedReader out = new BufferedReader(
-                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        final BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         final Thread reader = new Thread(() -> out.lines().forEach(log::add));
         reader.setDaemon(true);
         reader.start();
--- a/src/test/java/driftchute/node/SettingsApartTest.java
+++ b/src/test/java/driftchute/node/SettingsApartTest.java
@@ -34,10 +34,12 @@
              "settings":{"balancers":40,"my_zone":"pier-n","discovery":"pushed","weights":"rough",
               "classes":[{"name":"tide-warning","effect":"token","group":"zone","dedup_window":1000000,"target":500000,
                 "deadline":2500000,"points":3.0,"late_worth":0.1},
-               {"name":"shared-name","effect":"side_effect","in_turn":true,"target":900000,"deadline":6000000,"points":2.0}],
+               {"name":"shared-name","effect":"side_effect","in_turn":true,"target":900000,
+                "deadline":6000000,"points":2.0}],
               "tenants":[{"name":"pilots","quota_rps":5.0}],"flavors":["terminals","depots"],
               "extra":{"calls_out":5,"per_call":[10,1],"routes_apart":[true,false],"fades":"halving"},
-              "guarantees":{"must_ask_in":8000000,"cold_from":0.3,"cold":5000000,"tip_multiple":1.8,"order_settle":70000},
+              "guarantees":{"must_ask_in":8000000,"cold_from":0.3,"cold":5000000,
+                "tip_multiple":1.8,"order_settle":70000},
               "limits":{"max_open":21,"most_tries":5,"cancel":true,"idle_close":6000000,"retry_after":true,
                "connect_timeout":600000,"max_retry_after":1200000,"multiplex":2}}}""";
     private static final String CLINICS = """
@@ -80,7 +82,8 @@
         assertEquals(1024, plain.sockets());
         assertNull(plain.mgmt());
         final Courier.Limits limits = settings.limits();
-        assertTrue(limits.slots() > 1_000_000 && limits.maxOpen() > 1_000_000 && limits.mostAttempts() > 1_000_000,
+        assertTrue(
+                limits.slots() > 1_000_000 && limits.maxOpen() > 1_000_000 && limits.mostAttempts() > 1_000_000,
                 "no limit is told: " + limits);
         assertNotEquals(rich.limits().idleCloseUs(), limits.idleCloseUs());
     }
@@ -103,7 +106,8 @@
 
     @Test
     void twoCouriersInOneProcessKnowTheirOwnClassesAlone() throws Exception {
-        final EventLoopGroup group = new PatientLoopGroup(new DefaultThreadFactory("customers"), NioIoHandler.newFactory());
+        final EventLoopGroup group =
+                new PatientLoopGroup(new DefaultThreadFactory("customers"), NioIoHandler.newFactory());
         final EventLoop loop = group.next();
         final Clock clock = new Clock();
         final Host harbour = new Host(config(HARBOUR, "h"), loop, clock);
@@ -161,10 +165,13 @@
 
     /** One message to a listed endpoint, and what was asked for. */
     private static Asked play(final Control control, final Asked asked, final Courier.MessageClass kind) {
-        control.onList(1_000_000, Courier.Update.WHOLE, List.of(new Courier.Endpoint(1, Courier.Condition.LISTED, "", 0, -1,
-                7)));
-        control.onMessage(1_000_000, new Courier.Message("m", 1, -1, kind.inTurn() ? "key" : null,
-                1_000_000 + kind.deadlineUs(), 7));
+        control.onList(
+                1_000_000,
+                Courier.Update.WHOLE,
+                List.of(new Courier.Endpoint(1, Courier.Condition.LISTED, "", 0, -1, 7)));
+        control.onMessage(
+                1_000_000,
+                new Courier.Message("m", 1, -1, kind.inTurn() ? "key" : null, 1_000_000 + kind.deadlineUs(), 7));
         control.decide(1_000_000);
         return asked;
     }
@@ -189,7 +196,8 @@
     @Test
     void eachSettingThatIsTakenAwayLeavesTheOthersAsTheyWere() throws Exception {
         final JsonNode whole = new ObjectMapper().readTree(HARBOUR.formatted(folder.resolve("h")));
-        for (final String name : List.of("balancers", "my_zone", "weights", "tenants", "extra", "limits", "guarantees")) {
+        for (final String name :
+                List.of("balancers", "my_zone", "weights", "tenants", "extra", "limits", "guarantees")) {
             final JsonNode less = whole.deepCopy();
             ((ObjectNode) less.path("settings")).remove(name);
             final Courier.Settings settings = Config.parse(less, Map.of()).settings();
--- a/src/test/java/driftchute/node/ShutdownCrossingsTest.java
+++ b/src/test/java/driftchute/node/ShutdownCrossingsTest.java
@@ -27,6 +27,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -44,7 +45,9 @@
     }
 
     private List<String> delivered() {
-        return rig.first.requests.stream().flatMap(request -> request.ids().stream()).toList();
+        return rig.first.requests.stream()
+                .flatMap(request -> request.ids().stream())
+                .toList();
     }
 
     /** Sends SIGTERM, and waits until it has had its effect: a client that asked nothing is sent away. */
@@ -111,8 +114,8 @@
     @Test
     void requestsBehindOneAnotherAreAllAnsweredAndTheLastAnswerSaysClose() throws IOException, InterruptedException {
         rig.start();
-        final List<String> messages = List.of(Rig.message("m1", "once"), Rig.message("m2", "once"),
-                Rig.message("m3", "once"));
+        final List<String> messages =
+                List.of(Rig.message("m1", "once"), Rig.message("m2", "once"), Rig.message("m3", "once"));
         final Process ending;
         try (Socket socket = rig.connect()) {
             write(socket, half(messages.get(0)));
--- a/src/test/java/driftchute/node/StartCrossingsTest.java
+++ b/src/test/java/driftchute/node/StartCrossingsTest.java
@@ -26,6 +26,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
 
     @BeforeEach
@@ -55,7 +56,9 @@
     }
 
     private Set<String> called() {
-        return rig.first.requests.stream().flatMap(request -> request.ids().stream()).collect(Collectors.toSet());
+        return rig.first.requests.stream()
+                .flatMap(request -> request.ids().stream())
+                .collect(Collectors.toSet());
     }
 
     @Test
@@ -68,12 +71,15 @@
         final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - fromNs);
         assertTrue(tookMs < READY_MS, "ready after " + tookMs + " ms");
         assertEquals(202, rig.handIn("new", "safe").status());
-        rig.await("an end for each whose time is up", () -> all("late").stream()
-                .allMatch(id -> rig.noticed(id, "deferred")));
+        rig.await(
+                "an end for each whose time is up",
+                () -> all("late").stream().allMatch(id -> rig.noticed(id, "deferred")));
         rig.await("a call for each that was never tried", () -> called().containsAll(all("held")));
         final Set<String> again = new HashSet<>(called());
         again.retainAll(all("late"));
         assertEquals(Set.of(), again, "what is over is not sent");
-        assertEquals(List.of(), rig.notices.stream().filter(line -> line.contains("\"held")).toList());
+        assertEquals(
+                List.of(),
+                rig.notices.stream().filter(line -> line.contains("\"held")).toList());
     }
 }
--- a/src/test/java/driftchute/node/WatchCrossingsTest.java
+++ b/src/test/java/driftchute/node/WatchCrossingsTest.java
@@ -24,6 +24,7 @@
 
     @TempDir
     private Path folder;
+
     private Rig rig;
     /** When each watch was asked for. */
     private final List<Long> askedNs = new CopyOnWriteArrayList<>();
@@ -65,7 +66,7 @@
     @ValueSource(strings = {"pushed", "on_request"})
     void aNewWatchStandsInTimeThoughTheFirstCallForItIsSilentToo(final String discovery) throws IOException {
         rig.discovery = discovery;
-        agent(connection -> begin(connection, "\n"), connection -> { }, connection -> begin(connection, "\n"));
+        agent(connection -> begin(connection, "\n"), connection -> {}, connection -> begin(connection, "\n"));
         rig.start();
         rig.await("the third call", () -> askedNs.size() == 3);
         assertTrue(msBetween(0, 2) < TOLD_MS, "it took " + msBetween(0, 2) + " ms");
@@ -76,8 +77,15 @@
     void aWatchThatLivesButHasNoNewsEndsTheLongPausesOfAnOutage(final String discovery) throws IOException {
         rig.discovery = discovery;
         final java.util.function.Consumer<FakeServer.Connection> down = FakeServer.Connection::reset;
-        agent(connection -> begin(connection, "\n"), down, down, down, down, down,
-                connection -> begin(connection, "\n"), connection -> begin(connection, "\n"));
+        agent(
+                connection -> begin(connection, "\n"),
+                down,
+                down,
+                down,
+                down,
+                down,
+                connection -> begin(connection, "\n"),
+                connection -> begin(connection, "\n"));
         rig.start();
         rig.await("the watch after the outage, and the one after its silence", () -> askedNs.size() == 8);
         assertTrue(msBetween(6, 7) < TOLD_MS, "it took " + msBetween(6, 7) + " ms");
@@ -86,9 +94,10 @@
     @Test
     void aWatchThatFallsSilentInTheMiddleOfALineIsOpenedAnew() throws IOException {
         rig.discovery = "pushed";
-        final String line = Rig.line(42, Rig.host("e1", rig.first, "Terminating") + ","
-                + Rig.host("e2", rig.second, "Ready"));
-        agent(connection -> begin(connection, "\n" + line.substring(0, line.length() / 2)),
+        final String line =
+                Rig.line(42, Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
+        agent(
+                connection -> begin(connection, "\n" + line.substring(0, line.length() / 2)),
                 connection -> begin(connection, line));
         rig.start();
         rig.await("the second watch", () -> askedNs.size() == 2);
@@ -102,13 +111,15 @@
     @Test
     void aWatchThatTricklesWithoutEndingALineIsSilentToo() throws IOException {
         rig.discovery = "pushed";
-        agent(connection -> {
-            begin(connection, "\n");
-            for (int count = 0; askedNs.size() == 1 && count < 200; count++) {
-                connection.chunk("{");
-                java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
-            }
-        }, connection -> begin(connection, "\n"));
+        agent(
+                connection -> {
+                    begin(connection, "\n");
+                    for (int count = 0; askedNs.size() == 1 && count < 200; count++) {
+                        connection.chunk("{");
+                        java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+                    }
+                },
+                connection -> begin(connection, "\n"));
         rig.start();
         rig.await("the second watch", () -> askedNs.size() == 2);
         assertTrue(msBetween(0, 1) < TOLD_MS, "it took " + msBetween(0, 1) + " ms");
@@ -116,8 +127,8 @@
 
     @Test
     void theLongestDrawsOfAllPausesStayInsideWhatCountsAsTold() {
-        final long silent = Discovery.SILENT_MS + Discovery.againMs(0, 1) + Discovery.FIRST_WORD_MS
-                + Discovery.againMs(1, 1);
+        final long silent =
+                Discovery.SILENT_MS + Discovery.againMs(0, 1) + Discovery.FIRST_WORD_MS + Discovery.againMs(1, 1);
         assertTrue(silent < TOLD_MS, "a watch falls silent, and so does the call for the next one: " + silent);
         final long returned = Discovery.FIRST_WORD_MS + Discovery.againMs(Integer.MAX_VALUE, 1);
         assertTrue(returned < MOVED_MS, "a call and its pause began just before discovery returned: " + returned);
@@ -148,8 +159,10 @@
     @Test
     void aListMayComeIndented() throws IOException {
         rig.discovery = "pushed";
-        agent(connection -> begin(connection, "{\n  \"seq\": 42,\n  \"whole\": true,\n  \"hosts\": [\n    "
-                + Rig.host("e2", rig.second, "Ready").replace(",", ",\n      ") + "\n  ]\n}\n"));
+        agent(connection -> begin(
+                connection,
+                "{\n  \"seq\": 42,\n  \"whole\": true,\n  \"hosts\": [\n    "
+                        + Rig.host("e2", rig.second, "Ready").replace(",", ",\n      ") + "\n  ]\n}\n"));
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the call", () -> rig.second.requests.size() == 1);
@@ -160,7 +173,8 @@
     @Test
     void anIndentedListThatBreaksOffChangesNothingAndIsSaid() throws IOException {
         rig.discovery = "pushed";
-        agent(connection -> begin(connection, "\n{\n  \"seq\": 42,\n  \"whole\": true,\n  \"hosts\": [\n\n"),
+        agent(
+                connection -> begin(connection, "\n{\n  \"seq\": 42,\n  \"whole\": true,\n  \"hosts\": [\n\n"),
                 connection -> begin(connection, "\n"));
         rig.start();
         rig.await("the second watch", () -> askedNs.size() == 2);
