Keep state only for destinations with messages; a step visits those in use

Cause: Control made a Destination, a Lane and a Node for every listed endpoint, about a kilobyte each, and each second's step visited all lanes; the figure of endpoints that get nothing visited all endpoints ten times a second.

Change: DestinationTable holds what has had messages. State begins with a destination's first message, from the host's Courier.Directory; a step visits the destinations in use; one that was at rest takes the steps that it missed (at most 300, its rate is nothing by then), so that its figures are those of before. What is learned of destinations at rest is kept for those used last, as many as the host says; an outage, a wait, a pause, a ramp and an operator's mark are never forgotten. Endpoints that get nothing are counted among lanes in trouble only.

DestinationStateTest counts 50 lanes visited in 5 steps with 10 destinations in use of 100, 5,000, 20,000 and 45,000; without catching up its test of a rested destination fails.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -7,6 +7,7 @@
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -170,11 +172,12 @@
     private final Guarantees guarantees;
     private final Actions actions;
     private final Random random;
-    private final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    private final DestinationTable destinations;
+    /** Lanes of which some endpoint may get nothing now. */
+    private final Set<Lane> troubled = new LinkedHashSet<>();
     /** Destinations with messages: all that a decision looks at, however long the list is. */
     private final Map<Long, Destination> busy = new TreeMap<>();
 
-    private final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, KeyLine> keys = new LinkedHashMap<>();
     private final double[] classMeanUs;
@@ -189,7 +192,20 @@
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
     public Control(final Settings settings, final long seed, final Actions actions) {
+        this(settings, seed, actions, new EndpointMap(), Integer.MAX_VALUE);
+    }
+
+    /** As above, with the host's list, and what is learned of at most so many destinations at rest. */
+    public Control(
+            final Settings settings,
+            final long seed,
+            final Actions actions,
+            final Directory directory,
+            final int mostResting) {
         this.settings = settings;
+        final Predicate<Lane> mayForget = this::isSettled;
+        this.destinations =
+                new DestinationTable(settings, directory, mostResting, this::newLane, this::step, mayForget);
         this.limits = settings.limits();
         this.guarantees = settings.guarantees();
         this.actions = actions;
@@ -211,7 +227,7 @@
         jobs.put(message.id(), job);
         open++;
         job.overQuota = overQuota(message.tenant());
-        job.destination = destination(message.destination());
+        job.destination = destinations.active(message.destination());
         job.destination.waiting.add(job);
         job.destination.jobs++;
         busy.put(message.destination(), job.destination);
@@ -253,8 +269,10 @@
                 job.line.restUntilUs = nowUs + guarantees.orderSettleUs();
             }
         }
-        if (past.out() != null && nodes.containsKey(past.out().endpoint())) {
-            goesOn(job, nodes.get(past.out().endpoint()), past.out().sentUs());
+        final Node node =
+                past.out() == null ? null : destinations.node(past.out().endpoint());
+        if (node != null) {
+            goesOn(job, node, past.out().sentUs());
         }
     }
 
@@ -290,7 +308,7 @@
     public Standing standing(final long now, final long endpoint) {
         final Map<String, Double> figures = new TreeMap<>();
         final Map<String, Long> times = new TreeMap<>();
-        final Node node = nodes.get(endpoint);
+        final Node node = destinations.nodeWithState(endpoint);
         if (node != null) {
             final Lane lane = node.lane;
             lane.writeTo(figures, times);
@@ -308,8 +326,8 @@
     @Override
     public void onStanding(final long now, final long endpoint, final Standing standing) {
         nowUs = now;
-        final Node node = nodes.get(endpoint);
-        if (node == null || standing.figures().isEmpty()) {
+        final Node node = standing.figures().isEmpty() ? null : destinations.node(endpoint);
+        if (node == null) {
             return;
         }
         final Map<String, Long> times = standing.timesUs();
@@ -346,7 +364,7 @@
     @Override
     public void onWait(final long now, final long endpoint, final long waitUs) {
         nowUs = now;
-        Optional.ofNullable(nodes.get(endpoint)).ifPresent(node -> wait(node.lane, waitUs));
+        Optional.ofNullable(destinations.node(endpoint)).ifPresent(node -> wait(node.lane, waitUs));
     }
 
     private void wait(final Lane lane, final long waitUs) {
@@ -396,7 +414,7 @@
         nowUs = now;
         nextStepUs = nextStepUs == 0 ? nowUs + SECOND_US : nextStepUs;
         if (nowUs >= nextStepUs) {
-            destinations.values().forEach(d -> d.lanes.forEach(this::step));
+            destinations.step();
             trustUs = Math.min(limits.idleCloseUs(), TRUST_GROWTH * trustUs);
             keys.values().removeIf(line -> line.ids.isEmpty() && line.restUntilUs <= nowUs);
             nextStepUs += SECOND_US * ((nowUs - nextStepUs) / SECOND_US + 1);
@@ -422,12 +440,33 @@
 
     @Override
     public int avoided(final long now) {
-        return (int) nodes.values().stream()
-                .filter(node -> node.condition != Condition.GONE)
-                .filter(node -> node.out
-                        || node.lane.phase == Phase.OUT
-                        || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> untilUs > now))
-                .count();
+        int count = 0;
+        for (final Lane lane : List.copyOf(troubled)) {
+            final long avoided = lane.nodes.stream()
+                    .filter(node -> node.condition != Condition.GONE && isAvoided(node, now))
+                    .count();
+            count += (int) avoided;
+            if (avoided == 0) {
+                troubled.remove(lane);
+            }
+        }
+        return count;
+    }
+
+    /** Destinations that this courier holds state for, in use or at rest. */
+    public int destinationsHeld() {
+        return destinations.size();
+    }
+
+    /** Lanes that the steps have visited so far: the work of the step on any machine. */
+    public long lanesVisited() {
+        return destinations.lanesVisited();
+    }
+
+    private static boolean isAvoided(final Node node, final long now) {
+        return node.out
+                || node.lane.phase == Phase.OUT
+                || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> untilUs > now);
     }
 
     private String describe(final Lane lane) {
@@ -677,6 +716,15 @@
 
     // ---------------------------------------------------------------- the fuzzy step
 
+    /** True for a lane without trouble, wait, guard or operator's mark: it may begin anew. */
+    private boolean isSettled(final Lane lane) {
+        final boolean warm = lane.phase == Phase.RAMP && nowUs - lane.rampFromUs > guarantees.coldUs();
+        return (warm || lane.phase == Phase.WELL)
+                && lane.troubleFromUs == NEVER
+                && Math.max(lane.waitUntilUs, lane.pauseUntilUs) <= nowUs
+                && lane.nodes.stream().allMatch(node -> !isAvoided(node, nowUs) && coldUntilUs(node) == 0);
+    }
+
     /** Moves a lane's window by Table I. */
     private void step(final Lane lane) {
         final int bad = lane.bad + overdue(lane);
@@ -803,6 +851,7 @@
                     Arrays.fill(node.avoidUntilUs, nowUs + jitter(AVOID_US));
                 }
                 node.avoidUntilUs[kind] = nowUs + jitter(AVOID_US);
+                troubled.add(lane);
                 node.connections = Math.max(0, node.connections - 1);
                 if (outcome.result() != Result.NO_CONNECTION || node.lastServedUs <= call.sentUs) {
                     lane.failShare += FAIL_WEIGHT * (1 - lane.failShare);
@@ -845,6 +894,7 @@
         final boolean out = lane.badRun + overdue(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
+            troubled.add(lane);
             lane.nodes.forEach(node -> node.fullUntilUs = 0);
             lane.window = WINDOW_FLOOR;
             lane.troubleFromUs = Math.min(lane.troubleFromUs, nowUs);
@@ -858,6 +908,7 @@
         for (final Call call : lane.calls) {
             if (nowUs >= call.overdueUs() && call.node.lastServedUs < call.sentUs) {
                 Arrays.fill(call.node.avoidUntilUs, nowUs + AVOID_US);
+                troubled.add(lane);
                 count++;
             }
         }
@@ -1088,39 +1139,17 @@
         }
         askAgainUs = NEVER;
         askBackOffUs = ASK_LEAST_US;
-        if (update != Update.CHANGES) {
-            nodes.values().forEach(node -> node.condition = Condition.GONE);
-        }
-        for (final Endpoint entry : entries) {
-            Node node = nodes.get(entry.id());
-            if (node == null) {
-                node = new Node(entry, lane(entry), classMeanUs.length);
-                node.lane.nodes.add(node);
-                nodes.put(entry.id(), node);
-            }
-            node.condition = entry.condition();
-            if (settings.weights() != Weights.NONE) {
-                node.lane.listed = entry.weight();
-                // What answers report is newer and nearer than the list's figure.
-                final boolean keep = node.lane.reported && node.lane.told > 0;
-                node.lane.told = keep ? node.lane.told : entry.weight();
-            }
-        }
-        // A route apart is never forgotten: listed again, it still has its wait and its outage.
-        nodes.values()
-                .removeIf(node -> node.condition == Condition.GONE
-                        && node.inFlight == 0
-                        && !node.lane.kind.routesApart()
-                        && node.lane.nodes.remove(node));
+        destinations.update(update, entries);
     }
 
     @Override
     public void onHand(final long now, final long endpoint, final boolean out, final long backUs) {
         nowUs = now;
-        final Node node = nodes.get(endpoint);
+        final Node node = destinations.node(endpoint);
         if (node == null) {
             return;
         }
+        troubled.add(node.lane);
         if (out && !node.out) {
             // They restart it: what is open there now will not be when it is back.
             node.connections = 0;
@@ -1130,19 +1159,8 @@
         node.backUs = out ? 0 : backUs;
     }
 
-    private Lane lane(final Endpoint entry) {
-        final Destination destination = destination(entry.destination());
-        final Kind kind =
-                entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
-        if (kind.routesApart() || destination.lanes.isEmpty()) {
-            final boolean few = settings.couriers() <= FEW_COURIERS;
-            destination.lanes.add(new Lane(kind, few ? WINDOW_START : WINDOW_RARE));
-        }
-        return destination.lanes.get(destination.lanes.size() - 1);
-    }
-
-    private Destination destination(final long id) {
-        return destinations.computeIfAbsent(id, unused -> new Destination());
+    private Lane newLane(final Kind kind) {
+        return new Lane(kind, settings.couriers() <= FEW_COURIERS ? WINDOW_START : WINDOW_RARE);
     }
 
     /** Where the list must be asked for: once at the start, and again after a loss. */
@@ -1157,11 +1175,13 @@
     // ---------------------------------------------------------------- state
 
     /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
-    private static final class Destination {
+    static final class Destination {
         private final List<Job> waiting = new ArrayList<>();
-        private final List<Lane> lanes = new ArrayList<>();
+        final List<Lane> lanes = new ArrayList<>();
         /** Its messages, waiting or out. */
-        private int jobs;
+        int jobs;
+        /** The number of the step that its lanes saw last. */
+        long steppedAt;
 
         /** How long its line takes at the rate that it was served, us. */
         private long lineUs() {
@@ -1172,9 +1192,9 @@
     }
 
     /** The unit of the window: a destination, or a route of it. */
-    private static final class Lane extends LaneState {
-        private final Kind kind;
-        private final List<Node> nodes = new ArrayList<>();
+    static final class Lane extends LaneState {
+        final Kind kind;
+        final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
         /** This step's counts and sum of latency ratios. */
         private int peak, refused, served, bad, errors;
@@ -1182,7 +1202,7 @@
         private double ratioSum;
         private Allowance allowance;
         /** The list's figure for the limit. */
-        private double listed;
+        double listed;
         /** The share of that limit that was left when last reported, and when. */
         private double left = 1;
 
@@ -1195,15 +1215,15 @@
     }
 
     /** An endpoint. */
-    private static final class Node {
-        private final Endpoint entry;
-        private final Lane lane;
-        private Condition condition;
+    static final class Node {
+        final Endpoint entry;
+        final Lane lane;
+        Condition condition;
         /** Taken out by hand; and since when it is back, 0 if it never was out. */
         private boolean out;
 
         private long backUs;
-        private int inFlight, connections;
+        int inFlight, connections;
         /** Failures in a row of each class, and until when that class goes elsewhere. */
         private final int[] badRun;
 
@@ -1213,7 +1233,7 @@
 
         private long lastUseUs, lastSendUs, lastServedUs;
 
-        private Node(final Endpoint entry, final Lane lane, final int classes) {
+        Node(final Endpoint entry, final Lane lane, final int classes) {
             this.badRun = new int[classes];
             this.avoidUntilUs = new long[classes];
             this.entry = entry;
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -189,6 +189,21 @@
             long waitUs,
             Allowance allowance) {}
 
+    /**
+     * The list of endpoints, as its host holds it. The decisions keep state only for destinations with messages, and
+     * look the endpoints of a destination up when its first message comes.
+     */
+    interface Directory {
+        /** The endpoints of a destination, those that drain too, in an order that stays; empty if none is listed. */
+        List<Endpoint> endpointsOf(long destination);
+
+        /** The listed endpoint of that id, or null. */
+        Endpoint endpoint(long id);
+
+        /** {@link Courier#onList} has been told of this; a host that keeps its list up to date itself need not care. */
+        default void update(final Update update, final List<Endpoint> entries) {}
+    }
+
     /** What a courier may ask of its host. */
     interface Actions {
         /** Calls an endpoint with a message. */
@@ -213,7 +228,10 @@
         void wake(long delayUs);
     }
 
-    /** The list changed, or could not be had. */
+    /**
+     * The list changed, or could not be had. Its {@link Directory} says so already; {@code entries} are what changed,
+     * and need not hold the whole of a whole list where the host keeps the directory.
+     */
     void onList(long nowUs, Update update, List<Endpoint> entries);
 
     /** A message was taken. */
--- /dev/null
+++ b/src/test/java/driftchute/DestinationStateTest.java
@@ -0,0 +1,136 @@
+package driftchute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the decisions hold and visit follows the destinations in use, however long the list is. */
+final class DestinationStateTest {
+    private static final int SAFE = 0;
+    private static final long IN_USE = 10;
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 5_000, 20_000, 45_000})
+    void stateAndStepsFollowTheDestinationsInUseAndNotTheList(final int listed) {
+        final Scene scene = listing(Scene.remembering(Scene.settings(), Integer.MAX_VALUE), listed);
+        assertEquals(0, scene.control.destinationsHeld());
+        for (long destination = 0; destination < IN_USE; destination++) {
+            scene.takeFor("m" + destination, SAFE, destination);
+        }
+        assertEquals(IN_USE, scene.control.destinationsHeld());
+        scene.pass(5 * Scene.SECOND);
+        assertEquals(5 * IN_USE, scene.control.lanesVisited());
+    }
+
+    @Test
+    void aDestinationAtRestIsNotVisited() {
+        final Scene scene = listing(new Scene(Scene.settings()), 100);
+        scene.takeFor("m", SAFE, 7);
+        scene.end("m", Courier.Result.DELIVERED);
+        scene.pass(60 * Scene.SECOND);
+        assertEquals(1, scene.control.lanesVisited(), "the step of the second in which it was served");
+    }
+
+    @Test
+    void whatADestinationMissedAtRestIsCaughtUpWithItsNextMessage() {
+        final Scene rested = listing(new Scene(Scene.settings()), 1);
+        final Scene watched = listing(new Scene(Scene.settings()), 1);
+        for (final Scene scene : List.of(rested, watched)) {
+            scene.takeFor("first", SAFE, 0);
+            scene.pass(Scene.SECOND / 2);
+            scene.end("first", Courier.Result.DELIVERED);
+        }
+        for (int second = 0; second < 20; second++) {
+            rested.pass(Scene.SECOND);
+            watched.pass(Scene.SECOND);
+            // Any event at a destination wakes it, so that this one sees each step as it comes.
+            watched.control.onWait(watched.nowUs, 1, 0);
+        }
+        for (final Scene scene : List.of(rested, watched)) {
+            scene.takeFor("second", SAFE, 0);
+        }
+        assertTrue(rested.control.lanesVisited() >= 20, "it has caught up");
+        assertEquals(watched.control.describe(0), rested.control.describe(0));
+    }
+
+    @Test
+    void ofTheDestinationsAtRestThoseUsedLastAreRemembered() {
+        final Scene scene = listing(Scene.remembering(Scene.settings(), 4), 100);
+        for (long destination = 0; destination < IN_USE; destination++) {
+            scene.takeFor("m" + destination, SAFE, destination);
+            scene.end("m" + destination, Courier.Result.DELIVERED);
+            scene.pass(Scene.SECOND);
+        }
+        scene.pass(2 * Scene.SECOND);
+        assertEquals(4, scene.control.destinationsHeld());
+        assertTrue(scene.control.describe(IN_USE - 1).contains("window"), "the last one is remembered");
+    }
+
+    @Test
+    void anOutageIsNeverForgotten() {
+        final Scene scene = listing(Scene.remembering(Scene.settings(), 0), 100);
+        scene.takeFor("down", SAFE, 7);
+        for (int failure = 0; failure < 8; failure++) {
+            if (scene.last("down").atUs() <= scene.nowUs && scene.count("down") > scene.ended("down")) {
+                scene.end("down", Courier.Result.NO_CONNECTION);
+            }
+            scene.pass(2 * Scene.SECOND);
+        }
+        scene.pass(60 * Scene.SECOND);
+        assertEquals(1, scene.control.destinationsHeld());
+        assertTrue(scene.control.describe(7).contains("OUT"), scene.control.describe(7));
+    }
+
+    @Test
+    void aToldWaitHoldsForADestinationThatNothingWasSentTo() {
+        final Scene scene = listing(Scene.remembering(Scene.settings(), 0), 100);
+        scene.control.onWait(scene.nowUs, 8, 30 * Scene.SECOND);
+        scene.pass(5 * Scene.SECOND);
+        scene.takeFor("m", SAFE, 7);
+        assertEquals(0, scene.count("m"), "endpoint 8 is destination 7's, and its wait has 25 s left");
+    }
+
+    @Test
+    void theFirstMessageFindsTheListAsItStandsThen() {
+        final Scene scene = listing(new Scene(Scene.settings()), 100);
+        final Courier.Endpoint drains = new Courier.Endpoint(8, Courier.Condition.DRAINING, "a", 1, 0, 7);
+        scene.list(Courier.Update.CHANGES, drains, Scene.endpoint(1_000, 7, "b"));
+        scene.takeFor("m", SAFE, 7);
+        assertEquals(1_000, scene.last("m").endpoint());
+    }
+
+    @Test
+    void anEndpointThatMovesToAnotherDestinationGetsNothingForItsOldOne() {
+        final Scene scene = listing(new Scene(Scene.settings()), 100);
+        scene.takeFor("first", SAFE, 7);
+        scene.end("first", Courier.Result.DELIVERED);
+        scene.list(Courier.Update.CHANGES, Scene.endpoint(8, 9, "a"));
+        scene.takeFor("second", SAFE, 7);
+        assertEquals(0, scene.count("second"));
+    }
+
+    @Test
+    void aWholeListTakesOutWhatItDoesNotName() {
+        final Scene scene = listing(new Scene(Scene.settings()), 100);
+        scene.takeFor("first", SAFE, 7);
+        scene.end("first", Courier.Result.DELIVERED);
+        scene.list(Courier.Update.WHOLE, Scene.endpoint(1, 0, "a"));
+        scene.takeFor("second", SAFE, 7);
+        assertEquals(0, scene.count("second"));
+    }
+
+    /** One endpoint for each destination, its id one higher. */
+    private static Scene listing(final Scene scene, final int destinations) {
+        final List<Courier.Endpoint> entries = new ArrayList<>();
+        for (int destination = 0; destination < destinations; destination++) {
+            entries.add(Scene.endpoint(destination + 1, destination, "a"));
+        }
+        scene.list(Courier.Update.WHOLE, entries.toArray(Courier.Endpoint[]::new));
+        return scene;
+    }
+}
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -33,6 +33,15 @@
         this.control = new Control(settings, seed, this);
     }
 
+    /** A courier that keeps what it has learned of at most so many destinations at rest. */
+    static Scene remembering(final Courier.Settings settings, final int mostResting) {
+        return new Scene(settings, 42, mostResting);
+    }
+
+    private Scene(final Courier.Settings settings, final long seed, final int mostResting) {
+        this.control = new Control(settings, seed, this, new EndpointMap(), mostResting);
+    }
+
     /** Well-mixed seeds for a fleet: neighbouring ones would begin alike. */
     static long seed(final int courier) {
         return (courier + 1) * 0x9E3779B97F4A7C15L;
