Read deadlines anew only where a message has come or gone

Cause: each decision read the deadline of every waiting message, twice, and while all slots were taken every message was searched for the call longest overdue.

Change: a destination keeps when the first of its waiting messages is ended, and reads it anew after one has come or gone; the overdue call is looked for among the calls.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -166,6 +166,7 @@
     private static final long POLL_US = 20_000;
 
     private static final long NEVER = LaneState.NEVER;
+    private static final long UNKNOWN = Long.MIN_VALUE;
 
     private final Settings settings;
     private final Limits limits;
@@ -228,7 +229,7 @@
         open++;
         job.overQuota = overQuota(message.tenant());
         job.destination = destinations.active(message.destination());
-        job.destination.waiting.add(job);
+        job.destination.enqueue(job);
         job.destination.jobs++;
         busy.put(message.destination(), job.destination);
         if (job.kind.inTurn() && message.key() != null) {
@@ -291,7 +292,7 @@
             node.lane.calls.add(call);
         }
         call.carry(job, (long) expectedUs(node.lane, job));
-        job.destination.waiting.remove(job);
+        job.destination.dequeue(job);
     }
 
     @Override
@@ -376,7 +377,7 @@
         if (over || job.over) {
             end(job);
         } else {
-            job.destination.waiting.add(job);
+            job.destination.enqueue(job);
         }
     }
 
@@ -453,14 +454,9 @@
         return count;
     }
 
-    /** Destinations that this courier holds state for, in use or at rest. */
-    public int destinationsHeld() {
-        return destinations.size();
-    }
-
-    /** Lanes that the steps have visited so far: the work of the step on any machine. */
-    public long lanesVisited() {
-        return destinations.lanesVisited();
+    /** What is held and how much was visited so far. */
+    public Workload workload() {
+        return destinations.workload();
     }
 
     private static boolean isAvoided(final Node node, final long now) {
@@ -679,7 +675,7 @@
             call.messages++;
             call.carry(job, (long) expectedUs(lane, job));
             job.attempts++;
-            job.destination.waiting.remove(job);
+            job.destination.dequeue(job);
             actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
             job = full ? null : pick(job.destination, lane, node);
@@ -923,14 +919,16 @@
         if (callsOut < limits.slots() || !limits.mayCancel()) {
             return;
         }
-        final Job worst = jobs.values().stream()
-                .filter(job -> job.call != null && !job.call.calledOff && nowUs >= job.call.overdueUs())
-                .min(Comparator.comparingLong(job -> job.call.sentUs))
+        final Call worst = busy.values().stream()
+                .flatMap(destination -> destination.lanes.stream())
+                .flatMap(lane -> lane.calls.stream())
+                .filter(call -> !call.calledOff && nowUs >= call.overdueUs())
+                .min(Comparator.comparingLong(call -> call.sentUs))
                 .orElse(null);
         if (worst != null && best(false) != null) {
-            worst.call.calledOff = true;
+            worst.calledOff = true;
             jobs.values().stream()
-                    .filter(job -> job.call == worst.call)
+                    .filter(job -> job.call == worst)
                     .forEach(job -> actions.cancel(job.message.id(), job.attempts - 1));
         }
     }
@@ -1018,15 +1016,33 @@
                     lane.phase = Phase.WELL;
                 }
             }
-            for (final Job job : List.copyOf(destination.waiting)) {
-                if (nowUs >= endUs(job) || !maySend(job)) {
-                    // Given up: come again when the line that stands there now has gone, and no sooner.
-                    finish(job, Math.max(PAUSE_US, destination.lineUs()));
-                }
+            if (nowUs >= firstEndUs(destination)) {
+                endDue(destination);
+            }
+        }
+    }
+
+    private void endDue(final Destination destination) {
+        for (final Job job : List.copyOf(destination.waiting)) {
+            if (nowUs >= endUs(job) || !maySend(job)) {
+                // Given up: come again when the line that stands there now has gone, and no sooner.
+                finish(job, Math.max(PAUSE_US, destination.lineUs()));
             }
         }
     }
 
+    /** When the first of a destination's waiting messages is ended; read anew after one has come or gone. */
+    private long firstEndUs(final Destination destination) {
+        if (destination.firstEndUs == UNKNOWN) {
+            destinations.messagesVisited(destination.waiting.size());
+            destination.firstEndUs = destination.waiting.stream()
+                    .mapToLong(job -> maySend(job) ? endUs(job) : nowUs)
+                    .min()
+                    .orElse(NEVER);
+        }
+        return destination.firstEndUs;
+    }
+
     /** When a message that waits is ended: its time or its key's window is up. */
     private long endUs(final Job job) {
         return Math.min(job.message.endUs() - END_MARGIN_US, job.keyEndUs());
@@ -1059,7 +1075,7 @@
     private void end(final Job job) {
         open -= job.over ? 0 : 1;
         job.over = true;
-        job.destination.waiting.remove(job);
+        job.destination.dequeue(job);
         if (job.call == null) {
             if (job.line != null && !job.line.owed.contains(job.message.id())) {
                 job.line.ids.remove(job.message.id());
@@ -1115,9 +1131,7 @@
                     next = Math.min(next, Math.max(openAtUs(lane), nowUs + POLL_US));
                 }
             }
-            for (final Job job : destination.waiting) {
-                next = Math.min(next, endUs(job));
-            }
+            next = Math.min(next, firstEndUs(destination));
         }
         wakes.headSet(nowUs + 1).clear();
         if (wakes.isEmpty() || wakes.first() > next) {
@@ -1180,9 +1194,22 @@
         final List<Lane> lanes = new ArrayList<>();
         /** Its messages, waiting or out. */
         int jobs;
+        /** When the first one that waits is ended. */
+        private long firstEndUs = NEVER;
         /** The number of the step that its lanes saw last. */
         long steppedAt;
 
+        private void enqueue(final Job job) {
+            waiting.add(job);
+            firstEndUs = UNKNOWN;
+        }
+
+        private void dequeue(final Job job) {
+            if (waiting.remove(job)) {
+                firstEndUs = UNKNOWN;
+            }
+        }
+
         /** How long its line takes at the rate that it was served, us. */
         private long lineUs() {
             final double rate = Math.max(
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -189,6 +189,12 @@
             long waitUs,
             Allowance allowance) {}
 
+    /**
+     * The work of the decisions, apart from the machine that does it: destinations that state is held for, lanes that
+     * the steps have visited, and waiting messages whose deadlines were read, since the start.
+     */
+    record Workload(int destinationsHeld, long lanesVisited, long messagesVisited) {}
+
     /**
      * The list of endpoints, as its host holds it. The decisions keep state only for destinations with messages, and
      * look the endpoints of a destination up when its first message comes.
--- a/src/main/java/driftchute/DestinationTable.java
+++ b/src/main/java/driftchute/DestinationTable.java
@@ -37,6 +37,7 @@
 
     private long stepsTaken;
     private long lanesVisited;
+    private long messagesVisited;
 
     DestinationTable(
             final Courier.Settings settings,
@@ -53,14 +54,14 @@
         this.mayForget = mayForget;
     }
 
-    /** Destinations with state. */
-    int size() {
-        return destinations.size();
+    /** What is held and how much was visited so far. */
+    Courier.Workload workload() {
+        return new Courier.Workload(destinations.size(), lanesVisited, messagesVisited);
     }
 
-    /** Lanes that steps have visited so far. */
-    long lanesVisited() {
-        return lanesVisited;
+    /** The deadlines of so many waiting messages were read. */
+    void messagesVisited(final int count) {
+        messagesVisited += count;
     }
 
     /** The state of a destination as its last step left it, or null where it has none. */
@@ -174,7 +175,8 @@
             nodes.remove(entry.id());
         }
         final Destination destination = destinations.get(entry.destination());
-        if (destination != null) {
+        final boolean unknownIsGone = known == null && entry.condition() == Courier.Condition.GONE;
+        if (destination != null && !unknownIsGone) {
             apply(destination, entry);
             forgetGone(destination);
         }
--- a/src/test/java/driftchute/DestinationStateTest.java
+++ b/src/test/java/driftchute/DestinationStateTest.java
@@ -18,13 +18,13 @@
     @ValueSource(ints = {100, 5_000, 20_000, 45_000})
     void stateAndStepsFollowTheDestinationsInUseAndNotTheList(final int listed) {
         final Scene scene = listing(Scene.remembering(Scene.settings(), Integer.MAX_VALUE), listed);
-        assertEquals(0, scene.control.destinationsHeld());
+        assertEquals(0, scene.control.workload().destinationsHeld());
         for (long destination = 0; destination < IN_USE; destination++) {
             scene.takeFor("m" + destination, SAFE, destination);
         }
-        assertEquals(IN_USE, scene.control.destinationsHeld());
+        assertEquals(IN_USE, scene.control.workload().destinationsHeld());
         scene.pass(5 * Scene.SECOND);
-        assertEquals(5 * IN_USE, scene.control.lanesVisited());
+        assertEquals(5 * IN_USE, scene.control.workload().lanesVisited());
     }
 
     @Test
@@ -33,7 +33,7 @@
         scene.takeFor("m", SAFE, 7);
         scene.end("m", Courier.Result.DELIVERED);
         scene.pass(60 * Scene.SECOND);
-        assertEquals(1, scene.control.lanesVisited(), "the step of the second in which it was served");
+        assertEquals(1, scene.control.workload().lanesVisited(), "the step of the second in which it was served");
     }
 
     @Test
@@ -54,7 +54,7 @@
         for (final Scene scene : List.of(rested, watched)) {
             scene.takeFor("second", SAFE, 0);
         }
-        assertTrue(rested.control.lanesVisited() >= 20, "it has caught up");
+        assertTrue(rested.control.workload().lanesVisited() >= 20, "it has caught up");
         assertEquals(watched.control.describe(0), rested.control.describe(0));
     }
 
@@ -67,10 +67,33 @@
             scene.pass(Scene.SECOND);
         }
         scene.pass(2 * Scene.SECOND);
-        assertEquals(4, scene.control.destinationsHeld());
+        assertEquals(4, scene.control.workload().destinationsHeld());
         assertTrue(scene.control.describe(IN_USE - 1).contains("window"), "the last one is remembered");
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {100, 1_000, 10_000})
+    void aDecisionDoesNotReadTheDeadlinesOfMessagesThatWaitElsewhere(final int waiting) {
+        final Scene scene = listing(new Scene(Scene.roomFor(2 * waiting)), 100);
+        scene.control.onWait(scene.nowUs, 8, 10 * Scene.SECOND);
+        for (int message = 0; message < waiting; message++) {
+            scene.control.onMessage(
+                    scene.nowUs,
+                    new Courier.Message("w" + message, SAFE, -1, null, scene.nowUs + 16 * Scene.SECOND, 7));
+        }
+        scene.control.decide(scene.nowUs);
+        final long before = scene.control.workload().messagesVisited();
+        for (int message = 0; message < IN_USE; message++) {
+            scene.takeFor("m" + message, SAFE, 20 + message);
+            scene.end("m" + message, Courier.Result.DELIVERED);
+        }
+        final long visited = scene.control.workload().messagesVisited() - before;
+        assertTrue(visited <= 4 * IN_USE, "visited " + visited + " with " + waiting + " waiting elsewhere");
+        scene.pass(15 * Scene.SECOND);
+        assertTrue(
+                scene.control.workload().messagesVisited() > before + waiting / 2, "they are sent or ended in the end");
+    }
+
     @Test
     void anOutageIsNeverForgotten() {
         final Scene scene = listing(Scene.remembering(Scene.settings(), 0), 100);
@@ -82,7 +105,7 @@
             scene.pass(2 * Scene.SECOND);
         }
         scene.pass(60 * Scene.SECOND);
-        assertEquals(1, scene.control.destinationsHeld());
+        assertEquals(1, scene.control.workload().destinationsHeld());
         assertTrue(scene.control.describe(7).contains("OUT"), scene.control.describe(7));
     }
 
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -102,6 +102,30 @@
         return settings(16, 1, false, false);
     }
 
+    /** As {@link #settings()}, with room for so many messages. */
+    static Courier.Settings roomFor(final int messages) {
+        final Courier.Settings few = settings();
+        final Courier.Limits limits = few.limits();
+        return new Courier.Settings(
+                few.couriers(),
+                few.zone(),
+                few.listOnRequest(),
+                few.weights(),
+                few.fade(),
+                few.classes(),
+                few.tenants(),
+                few.kinds(),
+                few.guarantees(),
+                new Courier.Limits(
+                        limits.slots(),
+                        messages,
+                        limits.mostAttempts(),
+                        limits.mayCancel(),
+                        limits.idleCloseUs(),
+                        limits.multiplex(),
+                        limits.maxRetryAfterUs()));
+    }
+
     /** As {@link #settings()}, in a fleet of so many couriers. */
     static Courier.Settings fleetOf(final int couriers) {
         final Courier.Settings few = settings();
