--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -506,6 +506,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("connection to discovery", cause);
             if (!(cause instanceof IOException) && !(cause instanceof io.netty.channel.ChannelException)) {
                 Log.failure("watch on the list", cause);
             }
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -641,6 +641,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("connection to an endpoint", cause);
             if (!(cause instanceof IOException)) {
                 Log.failure("connection to an endpoint", cause);
             }
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -222,12 +222,12 @@
         journal = owned;
         look();
         predecessors.addAll(Predecessor.all(config.state(), clock, journal));
-        final List<String> before = journal.live().stream()
-                .filter(this::takeUp)
-                .map(held -> held.id)
-                .toList();
-        if (!before.isEmpty()) {
-            Log.info("resumed " + before.size() + " messages");
+        int resumed = 0;
+        for (final Held held : journal.live()) {
+            resumed += takeUp(held) ? 1 : 0;
+        }
+        if (resumed > 0) {
+            Log.info("resumed " + resumed + " messages");
         }
         hear();
         Log.info(config.describe());
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -313,6 +313,7 @@
     private final class Door extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("connection of a client", cause);
             if (!resting) {
                 Log.info("cannot accept with " + sessions.size() + " clients connected: " + cause);
             }
@@ -664,6 +665,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("connection of a client", cause);
             if (!(cause instanceof IOException)) {
                 Log.failure("a client's connection", cause);
             }
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -40,6 +40,9 @@
 
     private final Path folder;
     private final long fileBytes;
+    /** What the messages that are held may take of the heap. */
+    private final MemoryBudget memory;
+
     private final Map<String, Held> live = new LinkedHashMap<>();
     /** How far the files of processes that leave have been read, by their names. */
     private final Map<String, Long> readTo = new LinkedHashMap<>();
@@ -48,14 +51,23 @@
     private long size;
     private long liveBytes;
 
-    private Journal(final Path folder, final long diskBytes) {
+    private Journal(final Path folder, final long diskBytes, final MemoryBudget memory) {
         this.folder = folder;
+        this.memory = memory;
         this.fileBytes = (long) (FILE_SHARE * diskBytes);
     }
 
     /** Opens the journal of a folder, or begins it, and reads what the courier still owes. */
     static Journal open(final Path folder, final long diskBytes) throws IOException {
-        final Journal journal = new Journal(folder, diskBytes);
+        return open(folder, diskBytes, MemoryBudget.unlimited());
+    }
+
+    /**
+     * As above, with a bound on the memory of what is taken on. What the folder holds is read whether or not it is
+     * within that bound.
+     */
+    static Journal open(final Path folder, final long diskBytes, final MemoryBudget memory) throws IOException {
+        final Journal journal = new Journal(folder, diskBytes, memory);
         Files.createDirectories(folder);
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(folder.resolve(NEXT_FILE));
@@ -73,7 +85,11 @@
     /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
     boolean take(final Held held) {
         final long bytes = bytes(held);
-        if (liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
+        if (liveBytes + bytes > TAKE_SHARE * fileBytes || !memory.admit(held)) {
+            return false;
+        }
+        if (!append(taken(held))) {
+            memory.release(held);
             return false;
         }
         live.put(held.id, held);
@@ -88,6 +104,7 @@
         }
         live.put(held.id, held);
         liveBytes += bytes(held);
+        memory.charge(held);
         return true;
     }
 
@@ -119,6 +136,7 @@
     void over(final Held held) {
         if (live.remove(held.id) != null) {
             liveBytes -= bytes(held);
+            memory.release(held);
             append(Records.of(OVER, held.id, out -> {}));
         }
     }
@@ -254,6 +272,11 @@
             file.truncate(size);
         }
         liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
+        live.values().forEach(memory::charge);
+        if (memory.usedBytes() > memory.capacityBytes()) {
+            Log.info("journal: " + live.size() + " messages are held, reckoned at " + memory.usedBytes()
+                    + " bytes of memory of " + memory.capacityBytes() + ": nothing new is taken on until enough end");
+        }
     }
 
     private void apply(final byte type, final String id, final DataInputStream in) throws IOException {
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -154,7 +154,8 @@
         if (ending) {
             return;
         }
-        host.start(Journal.open(config.state(), config.diskBytes()));
+        final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
+        host.start(Journal.open(config.state(), config.diskBytes(), memory));
         serving = true;
         intake.listen(group, loop, held).addListener(bound -> {
             if (bound.isSuccess()) {
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -247,6 +247,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("notices to the platform", cause);
             if (!(cause instanceof IOException) && !(cause instanceof ReadTimeoutException)) {
                 Log.failure("notices to the platform", cause);
             }
--- a/src/main/java/driftchute/node/Operators.java
+++ b/src/main/java/driftchute/node/Operators.java
@@ -146,6 +146,7 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            FatalError.endOn("connection of an operator", cause);
             if (cause instanceof TooLongFrameException && !called) {
                 called = true;
                 silent.remove(ctx.channel());
--- a/src/main/java/driftchute/node/PatientLoopGroup.java
+++ b/src/main/java/driftchute/node/PatientLoopGroup.java
@@ -4,6 +4,7 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadIoEventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +13,8 @@
  * One event loop that waits whole milliseconds, rounded up, for its next timer. A selector cannot wait for less, and
  * Netty, left alone, asks it without end through the last half of one: up to half a millisecond of the processor for
  * each
- * timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead.
+ * timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead. An error
+ * in a task ends the process, as {@link FatalError} tells.
  */
 final class PatientLoopGroup extends MultiThreadIoEventLoopGroup {
     private static final long NS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -28,6 +30,22 @@
             protected long delayNanos(final long nowNs) {
                 return wholeMs(super.delayNanos(nowNs));
             }
+
+            @Override
+            public void execute(final Runnable task) {
+                super.execute(FatalError.guarded(task));
+            }
+
+            @Override
+            public ScheduledFuture<?> schedule(final Runnable task, final long delay, final TimeUnit unit) {
+                return super.schedule(FatalError.guarded(task), delay, unit);
+            }
+
+            @Override
+            public ScheduledFuture<?> scheduleWithFixedDelay(
+                    final Runnable task, final long initialDelay, final long delay, final TimeUnit unit) {
+                return super.scheduleWithFixedDelay(FatalError.guarded(task), initialDelay, delay, unit);
+            }
         };
     }
 
--- a/src/main/java/driftchute/node/Records.java
+++ b/src/main/java/driftchute/node/Records.java
@@ -16,6 +16,8 @@
 final class Records {
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     private static final int MOST_BYTES = 1 << 17;
+    /** A file is read in slices of this size; the longest record fits into one. */
+    private static final int SLICE_BYTES = 2 * MOST_BYTES;
 
     private Records() {}
 
@@ -58,28 +60,57 @@
         return read(file, from, file.size(), reader);
     }
 
-    /** As above, up to a position where a record ends. */
+    /**
+     * As above, up to a position where a record ends. The file is read slice by slice, so the memory this takes does not
+     * grow with the file.
+     */
     static long read(final FileChannel file, final long from, final long to, final Reader reader) throws IOException {
-        final ByteBuffer all = ByteBuffer.allocate((int) Math.max(0, to - from));
-        while (all.hasRemaining() && file.read(all, from + all.position()) >= 0) {
-            continue;
+        final ByteBuffer slice = ByteBuffer.allocate((int) Math.max(0, Math.min(SLICE_BYTES, to - from)));
+        long filledTo = from;
+        long position = from;
+        boolean more = slice.capacity() > 0;
+        while (more) {
+            filledTo += fill(slice, file, filledTo, to);
+            slice.flip();
+            final int records = readWhole(slice, reader);
+            position += records;
+            // A slice that ends inside a record is refilled behind the part that is here; one without any is the end.
+            slice.compact();
+            more = records > 0 && filledTo < to;
         }
-        all.flip();
-        while (all.remaining() >= HEAD_BYTES) {
-            final int length = all.getInt(all.position());
-            final int start = all.position() + HEAD_BYTES;
-            if (length <= 0 || length > MOST_BYTES || length > all.limit() - start) {
+        return position;
+    }
+
+    /** Fills a slice from a position of the file on, but not beyond the end; the result is how many bytes that were. */
+    private static int fill(final ByteBuffer slice, final FileChannel file, final long at, final long to)
+            throws IOException {
+        final int before = slice.position();
+        slice.limit((int) Math.min(slice.capacity(), before + (to - at)));
+        int count = 0;
+        while (slice.hasRemaining() && count >= 0) {
+            count = file.read(slice, at + slice.position() - before);
+        }
+        return slice.position() - before;
+    }
+
+    /** Reads the records that a slice holds whole; the result is their length, and the position is behind them. */
+    private static int readWhole(final ByteBuffer slice, final Reader reader) throws IOException {
+        final int begin = slice.position();
+        while (slice.remaining() >= HEAD_BYTES) {
+            final int length = slice.getInt(slice.position());
+            final int start = slice.position() + HEAD_BYTES;
+            if (length <= 0 || length > MOST_BYTES || length > slice.limit() - start) {
                 break;
             }
             final CRC32C crc = new CRC32C();
-            crc.update(all.array(), start, length);
-            if ((int) crc.getValue() != all.getInt(all.position() + Integer.BYTES)) {
+            crc.update(slice.array(), start, length);
+            if ((int) crc.getValue() != slice.getInt(slice.position() + Integer.BYTES)) {
                 break;
             }
-            final DataInputStream in = new DataInputStream(new ByteArrayInputStream(all.array(), start, length));
+            final DataInputStream in = new DataInputStream(new ByteArrayInputStream(slice.array(), start, length));
             reader.read(in.readByte(), in.readUTF(), in);
-            all.position(start + length);
+            slice.position(start + length);
         }
-        return from + all.position();
+        return slice.position() - begin;
     }
 }
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -136,6 +136,67 @@
         }
     }
 
+    /** Room for so many messages of that size. */
+    private static MemoryBudget memoryFor(final int messages, final int bytes) {
+        return new MemoryBudget(messages * MemoryBudget.bytes(held("m0", bytes)));
+    }
+
+    @Test
+    void takesNothingOnBeyondItsMemoryUntilAMessageIsOver() throws IOException {
+        final MemoryBudget memory = memoryFor(3, 100);
+        try (Journal journal = Journal.open(folder, DISK_BYTES, memory)) {
+            for (int index = 0; index < 3; index++) {
+                assertTrue(journal.take(held("m" + index, 100)));
+            }
+            assertFalse(journal.take(held("m3", 100)));
+            assertFalse(journal.holds("m3"), "what is refused is not held");
+            final Held first = journal.live().iterator().next();
+            journal.owe(first, new Held.Notice(true, 0));
+            assertFalse(journal.take(held("m3", 100)), "a notice that is owed is still held");
+            journal.over(first);
+            journal.over(first);
+            assertTrue(journal.take(held("m3", 100)));
+            assertFalse(journal.take(held("m4", 100)), "what is over twice is released once");
+            journal.live().forEach(journal::over);
+            assertEquals(0, memory.usedBytes());
+        }
+    }
+
+    @Test
+    void aMessageThatTheDiskRefusesTakesNoMemory() throws IOException {
+        final MemoryBudget memory = MemoryBudget.unlimited();
+        try (Journal journal = Journal.open(folder, DISK_BYTES, memory)) {
+            int taken = 0;
+            while (journal.take(held("m0" + taken, 1000))) {
+                taken++;
+            }
+            final long expected =
+                    journal.live().stream().mapToLong(MemoryBudget::bytes).sum();
+            assertEquals(expected, memory.usedBytes());
+        }
+    }
+
+    @Test
+    void whatIsOwedIsHeldBeyondTheMemoryAndNothingNewIsTakenUntilItIsBelow() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            for (int index = 0; index < 5; index++) {
+                assertTrue(journal.take(held("m" + index, 100)));
+            }
+            journal.over(journal.live().iterator().next());
+        }
+        final MemoryBudget memory = memoryFor(3, 100);
+        try (Journal journal = Journal.open(folder, DISK_BYTES, memory)) {
+            assertEquals(4, journal.live().size(), "nothing that is owed is dropped");
+            assertEquals(4 * MemoryBudget.bytes(held("m0", 100)), memory.usedBytes(), "what was over is not charged");
+            assertTrue(journal.takeOver(held("m5", 100)), "nor is what a process that leaves took on");
+            for (int left = 5; left >= 3; left--) {
+                assertFalse(journal.take(held("m9", 100)), "held: " + left);
+                journal.over(journal.live().iterator().next());
+            }
+            assertTrue(journal.take(held("m9", 100)));
+        }
+    }
+
     @Test
     void anUnfinishedCompactionIsDropped() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -44,6 +44,9 @@
     int maxOpen = 50;
     int diskMb = 3;
     int sockets = 1024;
+    /** The bound on the heap, as the virtual machine is told it. */
+    String heap = "-Xmx64m";
+
     String discovery = "on_request";
     String fleet = "\"balancers\":1";
     /** Each watch begins with a line that cannot be read. */
@@ -248,7 +251,7 @@
         final Path config = configure(platform);
         final List<String> command = new ArrayList<>(List.of(
                 System.getProperty("java.home") + "/bin/java",
-                "-Xmx64m",
+                heap,
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-cp",
