--- /dev/null
+++ b/src/test/java/driftchute/list/EndpointTableTest.java
@@ -0,0 +1,171 @@
+package driftchute.list;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import driftchute.Courier;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The table and its updates: what is told of each entry, what a change costs, and what a row takes. */
+final class EndpointTableTest {
+    private static final String AT = "127.0.0.1:7070";
+    private final EndpointTable table = new EndpointTable();
+
+    private List<String> apply(final long version, final boolean whole, final String... entries) throws IOException {
+        return ListText.apply(table, ListText.list(version, whole, entries));
+    }
+
+    private List<String> namesAt(final long destination) {
+        final List<String> names = new ArrayList<>();
+        table.forEachOf(destination, endpoint -> names.add(table.nameOf(endpoint)));
+        return names;
+    }
+
+    @Test
+    void tellsWhatEachEntryChanged() throws IOException {
+        assertEquals(
+                List.of("ADDED a", "ADDED b", "ADDED c"),
+                apply(
+                        1,
+                        true,
+                        ListText.entry("a", AT, 7, "Ready"),
+                        ListText.entry("b", AT, 7, "Ready"),
+                        ListText.entry("c", AT, 8, "Ready")));
+        assertEquals(
+                List.of("SAME a", "MOVED b", "CHANGED c", "ADDED d"),
+                apply(
+                        2,
+                        false,
+                        ListText.entry("a", AT, 7, "Ready"),
+                        ListText.entry("b", "127.0.0.1:7071", 7, "Ready"),
+                        ListText.entry("c", AT, 8, "Terminating"),
+                        ListText.entry("d", AT, 7, "Ready")));
+        assertEquals(List.of("a", "b", "d"), namesAt(7));
+        assertEquals(
+                List.of("GONE b", "removed b"),
+                apply(3, false, ListText.entry("b", AT, 7, "Gone"), ListText.entry("unknown", AT, 99, "Gone")));
+        assertTrue(table.knowsDestination(99));
+        assertEquals(
+                List.of("CHANGED d", "SAME c", "removed a"),
+                apply(4, true, ListText.entry("d", AT, 8, "Ready"), ListText.entry("c", AT, 8, "Terminating")));
+        assertEquals(List.of(), namesAt(7));
+        assertEquals(List.of("c", "d"), namesAt(8));
+        assertTrue(table.knowsDestination(7), "named once");
+        assertFalse(table.knowsDestination(5));
+        assertEquals(2, table.size());
+        assertEquals(4, table.version());
+    }
+
+    @Test
+    void anIdHoldsWhileItsNameIsKnownAndIsNeverGivenAgain() throws IOException {
+        apply(1, true, ListText.entry("a", AT, 7, "Ready"));
+        final long first = table.idOf("a");
+        apply(2, false, ListText.entry("a", AT, 9, "Terminating"));
+        assertEquals(first, table.idOf("a"));
+        apply(3, false, ListText.entry("a", AT, 9, "Gone"));
+        assertNull(table.idOf("a"));
+        assertFalse(table.isListed(first));
+        assertEquals("", table.nameOf(first));
+        apply(4, false, ListText.entry("b", AT, 9, "Ready"));
+        assertNotEquals(first, table.idOf("b"), "its row is used again, its id is not");
+        assertThrows(IllegalArgumentException.class, () -> table.zoneOf(first));
+    }
+
+    @Test
+    void aReservedNameKeepsItsIdWhenAListNamesIt() throws IOException {
+        final long id = table.reserve("a");
+        assertFalse(table.isListed(id));
+        assertEquals("a", table.nameOf(id));
+        apply(1, true);
+        assertEquals(id, table.idOf("a"), "no list has named it, so no list takes it away");
+        assertEquals(List.of("ADDED a"), apply(2, false, ListText.entry("a", AT, 7, "Ready")));
+        assertEquals(id, table.idOf("a"));
+        assertEquals(1, table.size());
+    }
+
+    @Test
+    void anEntryThatCannotBeUsedStillSaysThatAKnownEndpointDrains() throws IOException {
+        apply(1, true, ListText.entry("a", AT, 7, "Ready"));
+        final List<String> told = apply(
+                2,
+                false,
+                "{\"host\":\"a\",\"health\":\"Terminating\"}",
+                "{\"host\":\"new\",\"dial\":\"nowhere\",\"block\":8,\"health\":\"Ready\"}",
+                ListText.entry("b", AT, 8, "Ready"));
+        assertEquals("CHANGED a", told.get(1));
+        assertEquals("unusable 'dial' is no address: 'nowhere'", told.get(2));
+        assertEquals("ADDED b", told.get(3));
+        assertEquals(Courier.Condition.DRAINING, table.conditionOf(table.idOf("a")));
+        assertEquals(7, table.destinationOf(table.idOf("a")));
+        assertEquals(
+                List.of("CHANGED a"),
+                apply(3, false, "{\"host\":\"a\",\"dial\":\"bad\",\"block\":7,\"health\":\"Ready\"}"),
+                "its old address holds");
+        assertEquals(7070, table.addressOf(table.idOf("a")).getPort());
+    }
+
+    @Test
+    void anOlderVersionChangesNothing() throws IOException {
+        apply(5, true, ListText.entry("a", AT, 7, "Ready"));
+        final String before = ListText.describe(table);
+        final ListFormatException refused =
+                assertThrows(ListFormatException.class, () -> apply(4, true, ListText.entry("b", AT, 7, "Ready")));
+        assertEquals(ListFormatException.Fault.OLDER_VERSION, refused.fault());
+        assertEquals(before, ListText.describe(table));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {5_000, 10_000, 20_000, 45_000})
+    void aChangeVisitsWhatItHoldsWhateverTheSizeOfTheList(final int destinations) throws IOException {
+        ListText.apply(table, ListText.fleet(1, destinations));
+        final long endpoints = table.size();
+        assertEquals(destinations * 17L / 10, endpoints);
+        assertTrue(table.bytes() <= 80 * endpoints, table.bytes() + " bytes for " + endpoints);
+        final long before = table.entriesVisited();
+        apply(2, false, ListText.entry(ListText.name(17), ListText.dial(17), 17, "Terminating"));
+        assertEquals(1, table.entriesVisited() - before);
+        ListText.apply(table, ListText.fleet(3, destinations));
+        assertEquals(1 + 2 * endpoints, table.entriesVisited() - before, "a whole list is one pass");
+    }
+
+    /** Names come and go at random; the table agrees with a plain map throughout, and its arrays do not leak. */
+    @Test
+    void agreesWithAPlainMapWhileEndpointsComeAndGo() throws IOException {
+        final Map<String, Long> model = new HashMap<>();
+        final Random random = new Random(19);
+        for (long version = 1; version <= 4000; version++) {
+            final String name = ListText.name(random.nextInt(300));
+            final long destination = random.nextInt(100);
+            final boolean goes = random.nextInt(3) == 0;
+            apply(version, false, ListText.entry(name, AT, destination, goes ? "Gone" : "Ready"));
+            if (goes) {
+                model.remove(name);
+            } else {
+                model.put(name, destination);
+            }
+        }
+        assertEquals(model.size(), table.size());
+        int found = 0;
+        for (long destination = 0; destination < 100; destination++) {
+            for (final String name : namesAt(destination)) {
+                assertEquals(destination, model.get(name));
+                assertEquals(destination, table.destinationOf(table.idOf(name)));
+                found++;
+            }
+        }
+        assertEquals(model.size(), found);
+        assertTrue(table.bytes() < 60_000, table.bytes() + " bytes");
+    }
+}
