--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -220,6 +220,7 @@
     /** Takes up what an earlier process held, and decides from now on. Runs on the event loop. */
     void start(final Journal owned) throws IOException {
         journal = owned;
+        discovery.keep();
         look();
         predecessors.addAll(Predecessor.all(config.state(), clock, journal));
         int resumed = 0;
@@ -374,6 +375,7 @@
     void leave(final Leaving file) throws IOException {
         answer();
         notices.drop();
+        discovery.keepNoMore();
         for (final Courier.Endpoint entry : discovery.entries()) {
             file.standing(discovery.nameOf(entry.id()), control.standing(clock.nowUs(), entry.id()));
         }
@@ -495,13 +497,21 @@
         }
     }
 
-    /** The list has changed, or could not be had. */
-    void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
+    /**
+     * The list has changed, or could not be had. {@code entries}: all that the update names; {@code changed}: those of
+     * them that are not as before, and as gone those that went.
+     */
+    void list(final Courier.Update update, final List<Courier.Endpoint> entries, final List<Courier.Endpoint> changed) {
         control.onList(clock.nowUs(), update, entries);
         marks.keySet().forEach(this::mark);
         touch();
     }
 
+    /** Where and how an endpoint is called; null for one that the list does not name. */
+    Endpoints.Target target(final long endpoint) {
+        return discovery.target(endpoint);
+    }
+
     Endpoints endpoints() {
         return endpoints;
     }
