--- a/src/main/java/driftchute/scale/standin/FleetPlan.java
+++ b/src/main/java/driftchute/scale/standin/FleetPlan.java
@@ -7,8 +7,8 @@
 import java.util.Random;
 
 /**
- * The shape of a fleet and of its surroundings. Everything derived from it is a function of its fields, so two processes
- * with the same plan agree without talking to each other. Destinations and zones are numbered from 0.
+ * The shape of a fleet and of its surroundings. Everything derived from it is a function of its fields, so two
+ * processes with the same plan agree without talking to each other. Destinations and zones are numbered from 0.
  *
  * @param couriers couriers in the fleet
  * @param destinations destinations in the list
@@ -109,7 +109,7 @@
                 0);
     }
 
-    /** Endpoints of each destination: the whole part of the mean everywhere, one more at destinations drawn at random. */
+    /** Endpoints of each destination: the whole part of the mean, and one more at some drawn at random. */
     private int[] endpointCounts() {
         final int each = (int) endpointsPerDestination;
         final int extra = endpointCount() - destinations * each;
--- a/src/main/java/driftchute/scale/standin/ListHistory.java
+++ b/src/main/java/driftchute/scale/standin/ListHistory.java
@@ -1,17 +1,12 @@
 package driftchute.scale.standin;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * The endpoint list and its changes, by version, as one discovery service holds them. Lines are encoded once for all
@@ -21,9 +16,7 @@
     /** Versions whose changes are kept; one who asks for older news gets the whole list. */
     public static final int DEFAULT_VERSIONS_KEPT = 10_000;
 
-    private static final int APPROXIMATE_ENTRY_BYTES = 140;
-
-    private final JsonFactory json = new JsonFactory();
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private final int versionsKept;
     private final Map<String, EndpointEntry> current = new LinkedHashMap<>();
     /** What changed with each version. */
@@ -48,6 +41,25 @@
         first.forEach(entry -> current.put(entry.host(), entry));
     }
 
+    /**
+     * What one who has a version is sent.
+     *
+     * @param version the version that the line brings one to
+     * @param whole true for the whole list, false for changes
+     * @param line the line, shared by all who are sent the same one
+     */
+    public record Update(long version, boolean whole, byte[] line) {}
+
+    /** Calls this after each change, on the thread that made the change. */
+    public void addListener(final Runnable listener) {
+        listeners.add(listener);
+    }
+
+    /** Calls this no more. */
+    public void removeListener(final Runnable listener) {
+        listeners.remove(listener);
+    }
+
     /** The newest version. */
     public synchronized long version() {
         return version;
@@ -64,7 +76,13 @@
     }
 
     /** Changes these entries, removes those that are gone, and returns the new version. */
-    public synchronized long change(final List<EndpointEntry> entries) {
+    public long change(final List<EndpointEntry> entries) {
+        final long changed = apply(entries);
+        listeners.forEach(Runnable::run);
+        return changed;
+    }
+
+    private synchronized long apply(final List<EndpointEntry> entries) {
         version++;
         for (final EndpointEntry entry : entries) {
             if (entry.health() == EndpointEntry.Health.GONE) {
@@ -88,19 +106,24 @@
     }
 
     /**
-     * The line for one who has that version, in UTF-8 and with its line feed: what changed since, or the whole list. The
-     * array is shared and must not be changed.
+     * The line for one who has that version, in UTF-8 and with its line feed: what changed since, or the whole list.
+     * The array is shared and must not be changed.
      */
     public synchronized byte[] lineAfter(final long after) {
         if (isWholeAfter(after)) {
             if (wholeLine == null) {
-                wholeLine = encode(true, current.values());
+                wholeLine = ListLines.encode(version, true, current.values());
             }
             return wholeLine;
         }
         return changeLines.computeIfAbsent(after, this::encodeChanges);
     }
 
+    /** The line for one who has that version, with the version that it brings one to. */
+    public synchronized Update updateAfter(final long after) {
+        return new Update(version, isWholeAfter(after), lineAfter(after));
+    }
+
     private byte[] encodeChanges(final long after) {
         final Map<String, EndpointEntry> newest = new LinkedHashMap<>();
         changes.tailMap(after, false)
@@ -109,25 +132,6 @@
                     newest.remove(entry.host());
                     newest.put(entry.host(), entry);
                 }));
-        return encode(false, newest.values());
-    }
-
-    private byte[] encode(final boolean whole, final Collection<EndpointEntry> entries) {
-        final ByteArrayOutputStream line = new ByteArrayOutputStream((entries.size() + 1) * APPROXIMATE_ENTRY_BYTES);
-        try (JsonGenerator generator = json.createGenerator(line)) {
-            generator.writeStartObject();
-            generator.writeNumberField("seq", version);
-            generator.writeBooleanField("whole", whole);
-            generator.writeArrayFieldStart("hosts");
-            for (final EndpointEntry entry : entries) {
-                entry.writeTo(generator);
-            }
-            generator.writeEndArray();
-            generator.writeEndObject();
-            generator.writeRaw('\n');
-        } catch (final IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        return line.toByteArray();
+        return ListLines.encode(version, false, newest.values());
     }
 }
