--- /dev/null
+++ b/src/main/java/driftchute/scale/real/DeployFile.java
@@ -0,0 +1,25 @@
+package driftchute.scale.real;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The commands of {@code deploy/balancer.toml}. */
+public final class DeployFile {
+    private static final Path FILE = Path.of("deploy", "balancer.toml");
+    private static final String RUN_KEY = "run = ";
+
+    private DeployFile() {}
+
+    /** The shell command that starts a real courier from the root of the project. */
+    public static String runCommand(final Path projectRoot) throws IOException {
+        for (final String line : Files.readAllLines(projectRoot.resolve(FILE))) {
+            if (line.startsWith(RUN_KEY)) {
+                // A basic string of TOML has the escapes of a JSON string.
+                return new ObjectMapper().readValue(line.substring(RUN_KEY.length()), String.class);
+            }
+        }
+        throw new IOException(projectRoot.resolve(FILE) + " has no line '" + RUN_KEY + "'");
+    }
+}
