Add the scale run: a command that plays hollow couriers on a simulated clock

Change: `driftchute.scale.ScaleCommand run` (picocli) plays hollow couriers: each hosts the real decision module, a list of its own read from the bytes that discovery would send, and a watch with the real courier's time-outs and pauses. Destinations have a limit, are down for a while and come back cold. Scenario: changes, restarts, an outage of discovery, silent watches, a zone cut off, a backlog. Time is simulated in slices no longer than the least answer, so neither the order in which couriers are stepped nor the threads change the counts. Sums have to come out even, or the exit code is 1; bad arguments give 2. The result is a table, and a file by Jackson.

Result: FleetRunTest and ScaleCommandTest pass. With a random source that is not the seed's, the test of one seed fails; with calls answered out of the order of time all three fail. A dropped answer is found by the sums. The list is still an own one of maps, as the courier keeps it today.

--- /dev/null
+++ b/src/main/java/driftchute/scale/RunCommand.java
@@ -0,0 +1,201 @@
+package driftchute.scale;
+
+import driftchute.scale.fleet.FleetFigures;
+import driftchute.scale.fleet.FleetParameters;
+import driftchute.scale.fleet.FleetRun;
+import driftchute.scale.fleet.Progress;
+import driftchute.scale.fleet.SurroundingsModel;
+import driftchute.scale.standin.FleetPlan;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Plays a fleet of hollow couriers; the defaults are the target's figures, times the scale. */
+@Command(
+        name = "run",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = "Plays a fleet of couriers and prints what was measured. What is not given is the target's"
+                + " figure, times --scale where it grows with the fleet.")
+final class RunCommand implements Callable<Integer> {
+    private static final int TARGET_COURIERS = 660;
+    private static final int TARGET_DESTINATIONS = 45_000;
+    private static final double TARGET_EVENTS_PER_SECOND = 88_000;
+    private static final int TARGET_RESTARTS = 77;
+    private static final int REGIONS = 3;
+    private static final int ZONES = 9;
+    private static final int MOST_THREADS = 64;
+    private static final double NS_PER_SECOND = 1e9;
+    private static final long PROGRESS_EVERY_NS = 5_000_000_000L;
+    private static final double BYTES_PER_MB = 1e6;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(
+            names = "--scale",
+            defaultValue = "1",
+            description = "Share of the target's size (default: ${DEFAULT-VALUE}).")
+    private double scale;
+
+    @Option(names = "--couriers", description = "Couriers (660 x scale).")
+    private Integer couriers;
+
+    @Option(names = "--destinations", description = "Destinations (45,000 x scale).")
+    private Integer destinations;
+
+    @Option(
+            names = "--endpoints-per-destination",
+            defaultValue = "1.7",
+            description = "Mean endpoints of a destination (default: ${DEFAULT-VALUE}).")
+    private double endpointsPerDestination;
+
+    @Option(
+            names = "--down",
+            defaultValue = "0.043",
+            description = "Share of the destinations that is down (default: ${DEFAULT-VALUE}).")
+    private double down;
+
+    @Option(names = "--events-per-second", description = "Messages a second, all couriers (88,000 x scale).")
+    private Double eventsPerSecond;
+
+    @Option(
+            names = "--changes-per-day",
+            defaultValue = "2400",
+            description = "Changes of the list a day (default: ${DEFAULT-VALUE}).")
+    private double changesPerDay;
+
+    @Option(
+            names = "--seconds",
+            defaultValue = "600",
+            description = "Simulated seconds in which messages come; 30 more follow (default: ${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--restarts", description = "Couriers killed and started again during the run (77 x scale).")
+    private Integer restarts;
+
+    @Option(
+            names = "--discovery-outage",
+            defaultValue = "8",
+            description = "Seconds for which discovery is silent, once (default: ${DEFAULT-VALUE}).")
+    private double discoveryOutage;
+
+    @Option(
+            names = "--silent-watches",
+            defaultValue = "0.1",
+            description = "Share of the watches that fall silent at one moment (default: ${DEFAULT-VALUE}).")
+    private double silentWatches;
+
+    @Option(
+            names = "--cut-zone",
+            defaultValue = "0",
+            description = "The zone whose couriers are cut off at one moment; -1 for none (default: ${DEFAULT-VALUE}).")
+    private int cutZone;
+
+    @Option(
+            names = "--cut-mode",
+            defaultValue = "RESTART",
+            description = "What happens to them: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
+    private FleetParameters.CutMode cutMode;
+
+    @Option(
+            names = "--backlog",
+            defaultValue = "0",
+            description = "Messages that each courier holds when it first starts (default: ${DEFAULT-VALUE}).")
+    private int backlog;
+
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            description = "Decides all that is random (default: ${DEFAULT-VALUE}).")
+    private long seed;
+
+    @Option(
+            names = "--threads",
+            defaultValue = "2",
+            description = "Threads that step couriers; does not change the counts (default: ${DEFAULT-VALUE}).")
+    private int threads;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "Also writes the result there, as JSON.")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        final FleetParameters parameters = parameters();
+        final long startNs = System.nanoTime();
+        final FleetFigures figures = new FleetRun(parameters, threads).play(progress());
+        final double tookSeconds = (System.nanoTime() - startNs) / NS_PER_SECOND;
+        figures.add("time that the run took", tookSeconds, "s", FleetFigures.Basis.MEASURED, null);
+        final RunResult result = RunResult.of(parameters, threads, figures);
+        spec.commandLine().getOut().print(ResultTable.of(result));
+        spec.commandLine().getOut().flush();
+        if (out != null) {
+            result.writeTo(out);
+        }
+        return figures.checksHold() ? 0 : 1;
+    }
+
+    private FleetParameters parameters() {
+        require(scale > 0 && scale <= 10, "--scale lies above 0 and up to 10, not " + scale);
+        require(threads >= 1 && threads <= MOST_THREADS, "--threads lies from 1 to " + MOST_THREADS);
+        require(
+                out == null || out.toAbsolutePath().getParent().toFile().isDirectory(),
+                "--out: no such folder: " + out);
+        try {
+            return new FleetParameters(
+                    plan(),
+                    eventsPerSecond != null ? eventsPerSecond : TARGET_EVENTS_PER_SECOND * scale,
+                    changesPerDay,
+                    seconds,
+                    restarts != null ? restarts : scaled(TARGET_RESTARTS),
+                    discoveryOutage,
+                    silentWatches,
+                    cutZone,
+                    cutMode,
+                    backlog,
+                    SurroundingsModel.DEFAULT);
+        } catch (final IllegalArgumentException e) {
+            throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+        }
+    }
+
+    private FleetPlan plan() {
+        return new FleetPlan(
+                couriers != null ? couriers : scaled(TARGET_COURIERS),
+                destinations != null ? destinations : scaled(TARGET_DESTINATIONS),
+                endpointsPerDestination,
+                down,
+                REGIONS,
+                ZONES,
+                seed);
+    }
+
+    private int scaled(final int target) {
+        return (int) Math.max(1, Math.round(target * scale));
+    }
+
+    private void require(final boolean kept, final String problem) {
+        if (!kept) {
+            throw new ParameterException(spec.commandLine(), problem);
+        }
+    }
+
+    /** Says on standard error every few seconds how far the run is. */
+    private Progress progress() {
+        final long[] saidAtNs = {System.nanoTime()};
+        return (at, of) -> {
+            if (System.nanoTime() - saidAtNs[0] >= PROGRESS_EVERY_NS) {
+                saidAtNs[0] = System.nanoTime();
+                final Runtime runtime = Runtime.getRuntime();
+                final double heapMb = (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_MB;
+                spec.commandLine().getErr().printf("%.0f of %.0f simulated seconds, heap %.0f MB%n", at, of, heapMb);
+                spec.commandLine().getErr().flush();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/RunResult.java
@@ -0,0 +1,64 @@
+package driftchute.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import driftchute.scale.fleet.FleetFigures;
+import driftchute.scale.fleet.FleetParameters;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The result of a run as it is written to a file. */
+record RunResult(
+        FleetParameters parameters,
+        int threads,
+        String commit,
+        Machine machine,
+        List<FleetFigures.Figure> figures,
+        List<FleetFigures.Check> checks) {
+    private static final double BYTES_PER_MB = 1e6;
+    private static final String UNKNOWN = "unknown";
+
+    /** The machine of the run, as the process saw it. */
+    record Machine(int cores, double mostHeapMb, String javaVersion) {}
+
+    static RunResult of(final FleetParameters parameters, final int threads, final FleetFigures figures) {
+        final Runtime runtime = Runtime.getRuntime();
+        return new RunResult(
+                parameters,
+                threads,
+                describeCommit(),
+                new Machine(
+                        runtime.availableProcessors(),
+                        runtime.maxMemory() / BYTES_PER_MB,
+                        System.getProperty("java.version")),
+                figures.figures(),
+                figures.checks());
+    }
+
+    /** The commit of the folder that the process runs in, where that is a clone. */
+    private static String describeCommit() {
+        try {
+            final Process git = new ProcessBuilder("git", "describe", "--always", "--dirty", "--abbrev=12")
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start();
+            try (BufferedReader output =
+                    new BufferedReader(new InputStreamReader(git.getInputStream(), StandardCharsets.UTF_8))) {
+                final String line = output.readLine();
+                return git.waitFor() == 0 && line != null ? line : UNKNOWN;
+            }
+        } catch (final IOException e) {
+            return UNKNOWN;
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return UNKNOWN;
+        }
+    }
+
+    void writeTo(final Path file) throws IOException {
+        new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValue(file.toFile(), this);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/AttemptCall.java
@@ -0,0 +1,23 @@
+package driftchute.scale.fleet;
+
+/**
+ * A call that a courier made.
+ *
+ * @param atUs when it left
+ * @param courier who made it
+ * @param order its number among the courier's calls
+ * @param message what it carries
+ * @param attempt its number among the message's attempts
+ * @param destination the destination called
+ * @param endpoint the endpoint called
+ * @param timeoutUs how long the courier waits
+ */
+record AttemptCall(
+        long atUs,
+        int courier,
+        long order,
+        OpenMessage message,
+        int attempt,
+        long destination,
+        long endpoint,
+        long timeoutUs) {}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/CourierFigures.java
@@ -0,0 +1,30 @@
+package driftchute.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What is counted and measured of one courier. */
+final class CourierFigures {
+    final MessageCounts messages = new MessageCounts();
+    final ListWatch.Fetches fetches = new ListWatch.Fetches();
+    final ProcessorTime processor = new ProcessorTime();
+    final ControlTraffic traffic;
+    /** From each change until it was in force here, or from this process's start where that was later. */
+    final List<Long> inForceUs = new ArrayList<>();
+    /** From a process's start until it was ready. */
+    final List<Long> firstReadyUs = new ArrayList<>();
+
+    final List<Long> restartReadyUs = new ArrayList<>();
+
+    CourierFigures(final long startUs, final long endUs) {
+        this.traffic = new ControlTraffic(startUs, endUs);
+    }
+
+    void readyUs(final boolean first, final long tookUs) {
+        (first ? firstReadyUs : restartReadyUs).add(tookUs);
+    }
+
+    void inForce(final Iterable<Long> madeAtUs, final long processStartUs, final long nowUs) {
+        madeAtUs.forEach(madeUs -> inForceUs.add(nowUs - Math.max(madeUs, processStartUs)));
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/CourierStepper.java
@@ -0,0 +1,52 @@
+package driftchute.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Steps couriers through a slice of time on several threads; within a slice they do not meet. */
+final class CourierStepper implements AutoCloseable {
+    private final List<HollowCourier> couriers;
+    private final int threads;
+    private final ExecutorService executor;
+
+    CourierStepper(final List<HollowCourier> couriers, final int threads) {
+        this.couriers = couriers;
+        this.threads = threads;
+        this.executor = Executors.newFixedThreadPool(threads);
+    }
+
+    /** Lets time pass for all of them until then. */
+    void runUntil(final long untilUs) throws InterruptedException {
+        final List<Callable<Void>> stripes = new ArrayList<>();
+        for (int stripe = 0; stripe < threads; stripe++) {
+            final int first = stripe;
+            stripes.add(() -> {
+                for (int index = first; index < couriers.size(); index += threads) {
+                    couriers.get(index).runUntil(untilUs);
+                }
+                return null;
+            });
+        }
+        for (final Future<Void> stripe : executor.invokeAll(stripes)) {
+            await(stripe);
+        }
+    }
+
+    private static void await(final Future<Void> stripe) throws InterruptedException {
+        try {
+            stripe.get();
+        } catch (final ExecutionException e) {
+            throw new IllegalStateException("a courier failed: " + e.getCause(), e.getCause());
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/EventQueue.java
@@ -0,0 +1,46 @@
+package driftchute.scale.fleet;
+
+import java.util.PriorityQueue;
+
+/** Events of a simulated clock, by time and, at one time, in the order in which they were added. */
+final class EventQueue {
+    private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(final Event other) {
+            final int byTime = Long.compare(atUs, other.atUs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long added;
+    private long nowUs;
+
+    EventQueue(final long nowUs) {
+        this.nowUs = nowUs;
+    }
+
+    /** The time of the event that runs, or of the last one. */
+    long nowUs() {
+        return nowUs;
+    }
+
+    /** Adds an event; one in the past happens now. */
+    void at(final long atUs, final Runnable action) {
+        events.add(new Event(Math.max(nowUs, atUs), added++, action));
+    }
+
+    /** Adds an event that happens after a delay. */
+    void after(final long delayUs, final Runnable action) {
+        at(nowUs + delayUs, action);
+    }
+
+    /** Runs what happens before a time. */
+    void runUntil(final long untilUs) {
+        while (!events.isEmpty() && events.peek().atUs() < untilUs) {
+            final Event event = events.poll();
+            nowUs = event.atUs();
+            event.action().run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/FleetRun.java
@@ -0,0 +1,112 @@
+package driftchute.scale.fleet;
+
+import driftchute.scale.standin.EndpointEntry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * One run of a fleet. Time passes in slices no longer than the least time of an answer: in a slice each courier goes on
+ * by itself, then the destinations answer all calls of the slice in the order of their times. So neither the order in
+ * which couriers are stepped nor the number of threads changes the result.
+ */
+public final class FleetRun {
+    /** The list names it; nobody connects. */
+    private static final int ENDPOINT_PORT = 7070;
+
+    private static final long SLICE_US = Destinations.LEAST_ANSWER_US;
+    /** Far from zero, so that "never yet" lies long ago for the decisions. */
+    private static final long START_US = Units.us(3_600);
+    /** After the last message was handed in: its longest time, and what may come late. */
+    private static final long DRAIN_US = Units.us(30);
+    /** Simulated time between two reports of progress. */
+    private static final long PROGRESS_US = Units.US_PER_SECOND;
+
+    private static final Comparator<AttemptCall> BY_TIME = Comparator.comparingLong(AttemptCall::atUs)
+            .thenComparingInt(AttemptCall::courier)
+            .thenComparingLong(AttemptCall::order);
+
+    private final FleetParameters parameters;
+    private final int threads;
+    private final AnswerLoss loss;
+    private final long endUs;
+    private final EventQueue surroundings = new EventQueue(START_US);
+    private final Destinations destinations;
+    private final Discovery discovery;
+    private final List<HollowCourier> couriers = new ArrayList<>();
+    private long callNumber;
+
+    /** A run on so many threads. */
+    public FleetRun(final FleetParameters parameters, final int threads) {
+        this(parameters, threads, AnswerLoss.NONE);
+    }
+
+    FleetRun(final FleetParameters parameters, final int threads, final AnswerLoss loss) {
+        this.parameters = parameters;
+        this.threads = threads;
+        this.loss = loss;
+        final long arrivalsEndUs = START_US + Units.us(parameters.seconds());
+        this.endUs = arrivalsEndUs + DRAIN_US;
+        this.destinations = new Destinations(parameters, surroundings);
+        this.discovery = new Discovery(listedEndpoints(), parameters.plan().seed());
+        for (int index = 0; index < parameters.plan().couriers(); index++) {
+            couriers.add(new HollowCourier(index, parameters, discovery, START_US, arrivalsEndUs, endUs));
+        }
+        new Scenario(parameters, surroundings, discovery, couriers, START_US).schedule();
+    }
+
+    /** The plan's list, where a destination's share tells its limit. */
+    private List<EndpointEntry> listedEndpoints() {
+        final double limit = destinations.listedLimit();
+        return parameters
+                .plan()
+                .endpoints(new InetSocketAddress(InetAddress.getLoopbackAddress(), ENDPOINT_PORT))
+                .stream()
+                .map(entry -> new EndpointEntry(
+                        entry.host(),
+                        entry.dial(),
+                        entry.site(),
+                        entry.kind(),
+                        entry.block(),
+                        entry.health(),
+                        limit,
+                        entry.bornMs()))
+                .toList();
+    }
+
+    /** Plays the run to its end. */
+    public FleetFigures play(final Progress progress) throws InterruptedException {
+        couriers.forEach(HollowCourier::start);
+        try (CourierStepper stepper = new CourierStepper(couriers, threads)) {
+            for (long fromUs = START_US; fromUs < endUs; fromUs += SLICE_US) {
+                stepper.runUntil(fromUs + SLICE_US);
+                answerCalls();
+                surroundings.runUntil(fromUs + SLICE_US);
+                if ((fromUs - START_US) % PROGRESS_US == 0) {
+                    progress.at(seconds(fromUs - START_US), seconds(endUs - START_US));
+                }
+            }
+        }
+        destinations.close();
+        return FleetFigures.of(parameters, seconds(endUs - START_US), discovery, destinations, couriers);
+    }
+
+    private static double seconds(final long us) {
+        return (double) us / Units.US_PER_SECOND;
+    }
+
+    private void answerCalls() {
+        final List<AttemptCall> calls = new ArrayList<>();
+        couriers.forEach(courier -> calls.addAll(courier.takeCalls()));
+        calls.sort(BY_TIME);
+        for (final AttemptCall call : calls) {
+            surroundings.runUntil(call.atUs());
+            final Destinations.Answer answer = destinations.answer(call);
+            if (!loss.loses(callNumber++)) {
+                couriers.get(call.courier()).answered(call, answer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -0,0 +1,420 @@
+package driftchute.scale.fleet;
+
+import driftchute.Control;
+import driftchute.Courier;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * One courier without sockets and files: the real decisions, a list of its own fed by the bytes of a watch, messages
+ * handed in at random, and calls that the models of the destinations answer. Between two slices it meets nobody.
+ */
+final class HollowCourier implements Courier.Actions {
+    /** How late an end may come, as the platform allows. */
+    private static final long LATE_US = 300 * Units.US_PER_MS;
+    /** After a start no end is late for so long. */
+    private static final long START_GRACE_US = 1_500 * Units.US_PER_MS;
+    /** A message refused so near its end was given up rather than turned away. */
+    private static final long GIVEN_UP_WITHIN_US = 50 * Units.US_PER_MS;
+
+    private final int index;
+    private final FleetParameters parameters;
+    private final Courier.Settings settings;
+    private final EventQueue events;
+    private final Discovery discovery;
+    private final Random traffic;
+    private final Random pauses;
+    private final long arrivalsEndUs;
+    private final Map<String, OpenMessage> open = new LinkedHashMap<>();
+    private final List<AttemptCall> calls = new ArrayList<>();
+    private final BitSet contacted = new BitSet();
+    private final CourierFigures figures;
+
+    private CourierList list = new HashCourierList();
+    private Control control;
+    private ListWatch watch;
+    /** Processes so far; what was meant for an earlier one is void. */
+    private int process;
+
+    private boolean running, ready;
+    private long processStartUs;
+    private long readyAtUs;
+    private long messagesMade, callsMade;
+
+    HollowCourier(
+            final int index,
+            final FleetParameters parameters,
+            final Discovery discovery,
+            final long startUs,
+            final long arrivalsEndUs,
+            final long endUs) {
+        final long seed = parameters.plan().seed();
+        this.index = index;
+        this.parameters = parameters;
+        this.discovery = discovery;
+        this.arrivalsEndUs = arrivalsEndUs;
+        this.settings = CourierSettings.of(parameters, zoneName());
+        this.events = new EventQueue(startUs);
+        this.traffic = new Random(Seeds.of(seed, Seeds.TRAFFIC, index));
+        this.pauses = new Random(Seeds.of(seed, Seeds.WATCH, index));
+        this.figures = new CourierFigures(startUs, endUs);
+    }
+
+    private String zoneName() {
+        return parameters.plan().zoneName(zone());
+    }
+
+    int zone() {
+        return parameters.plan().zoneOfCourier(index);
+    }
+
+    CourierFigures figures() {
+        return figures;
+    }
+
+    // ---------------------------------------------------------------- the process
+
+    /** Starts the first process. */
+    void start() {
+        startProcess();
+    }
+
+    private void startProcess() {
+        final boolean first = process++ == 0;
+        running = true;
+        processStartUs = events.nowUs();
+        control = newControl();
+        watch = new ListWatch(
+                events,
+                discovery,
+                figures.traffic,
+                figures.fetches,
+                pauses,
+                parameters.model(),
+                first,
+                list.version(),
+                this::onLine);
+        inThisProcess(parameters.model().startMs() * Units.US_PER_MS, this::begin);
+    }
+
+    /** The one place where the decisions are made; they are given a seed of their own at each start. */
+    private Control newControl() {
+        final long member = ((long) index << Integer.SIZE) + process;
+        return new Control(settings, Seeds.of(parameters.plan().seed(), Seeds.DECISIONS, member), this);
+    }
+
+    private void begin() {
+        if (process == 1) {
+            makeBacklog();
+        }
+        if (list.version() > 0) {
+            becomeReady();
+        }
+        watch.begin();
+    }
+
+    /** Kills the process; the next one starts after a while and finds what the journal and the stored list hold. */
+    void restart() {
+        if (!running) {
+            return;
+        }
+        running = false;
+        ready = false;
+        process++;
+        watch.close();
+        control = null;
+        list = list.afterRestart();
+        open.values().forEach(this::cutOff);
+        events.after(parameters.model().downMs() * Units.US_PER_MS, this::startProcess);
+    }
+
+    private void cutOff(final OpenMessage message) {
+        if (message.callOut) {
+            message.callOut = false;
+            message.mayHaveRunSince(message.callSentUs);
+        }
+    }
+
+    boolean running() {
+        return running;
+    }
+
+    private void inThisProcess(final long delayUs, final Runnable action) {
+        final int own = process;
+        events.after(delayUs, () -> {
+            if (own == process) {
+                action.run();
+            }
+        });
+    }
+
+    /** The list is in force for the first time: what was held goes on, and messages are taken. */
+    private void becomeReady() {
+        ready = true;
+        readyAtUs = events.nowUs();
+        figures.readyUs(process == 1, events.nowUs() - processStartUs);
+        for (final OpenMessage message : List.copyOf(open.values())) {
+            control.onResumed(events.nowUs(), message.message, message.past());
+        }
+        decideOnEvent();
+        scheduleArrival();
+    }
+
+    // ---------------------------------------------------------------- discovery
+
+    ListWatch watch() {
+        return watch;
+    }
+
+    private void onLine(final byte[] line) {
+        final long before = list.version();
+        final CourierList.Change change = readList(line);
+        final long fromNs = System.nanoTime();
+        control.onList(events.nowUs(), change.update(), change.entries());
+        figures.processor.applyNs += System.nanoTime() - fromNs;
+        if (ready) {
+            decideOnEvent();
+        } else {
+            becomeReady();
+        }
+        figures.inForce(discovery.madeBetween(before, list.version()), processStartUs, events.nowUs());
+    }
+
+    private CourierList.Change readList(final byte[] line) {
+        final long fromNs = ProcessorTime.threadNs();
+        try {
+            return list.feed(line);
+        } catch (final IOException e) {
+            throw new UncheckedIOException("courier " + index + " cannot read its list", e);
+        } finally {
+            figures.processor.countList(ProcessorTime.threadNs() - fromNs);
+        }
+    }
+
+    long versionInForce() {
+        return list.version();
+    }
+
+    int listed() {
+        return list.size();
+    }
+
+    // ---------------------------------------------------------------- messages
+
+    private void makeBacklog() {
+        for (int number = 0; number < parameters.backlogPerCourier(); number++) {
+            final OpenMessage message = nextMessage();
+            open.put(message.message.id(), message);
+            figures.messages.taken++;
+        }
+    }
+
+    private void scheduleArrival() {
+        final double perSecond = parameters.eventsPerSecondAndCourier();
+        if (perSecond > 0) {
+            final double gapSeconds = -Math.log(1 - traffic.nextDouble()) / perSecond;
+            inThisProcess(Units.us(gapSeconds), this::arrive);
+        }
+    }
+
+    private void arrive() {
+        if (events.nowUs() >= arrivalsEndUs) {
+            return;
+        }
+        final OpenMessage taken = nextMessage();
+        open.put(taken.message.id(), taken);
+        figures.messages.taken++;
+        control.onMessage(events.nowUs(), taken.message);
+        decideOnEvent();
+        scheduleArrival();
+    }
+
+    private OpenMessage nextMessage() {
+        final int messageClass = traffic.nextInt(settings.classes().size());
+        final long destination = traffic.nextInt(parameters.plan().destinations());
+        final long deadlineUs = settings.classes().get(messageClass).deadlineUs();
+        contacted.set((int) destination);
+        return new OpenMessage(new Courier.Message(
+                "c" + index + "-" + messagesMade++, messageClass, -1, null, events.nowUs() + deadlineUs, destination));
+    }
+
+    /** Messages without an end whose time is over. */
+    long overdue() {
+        final long nowUs = events.nowUs();
+        return open.values().stream()
+                .filter(message -> message.message.validUntilUs() + LATE_US < nowUs)
+                .count();
+    }
+
+    int openMessages() {
+        return open.size();
+    }
+
+    /** Destinations that this courier has had a message for. */
+    int destinationsContacted() {
+        return contacted.cardinality();
+    }
+
+    private void end(final String messageId, final Runnable count) {
+        final OpenMessage ended = open.remove(messageId);
+        if (ended == null) {
+            figures.messages.endedTwice++;
+            return;
+        }
+        count.run();
+        final long dueUs = Math.max(ended.message.validUntilUs() + LATE_US, readyAtUs + START_GRACE_US);
+        figures.messages.late += events.nowUs() > dueUs ? 1 : 0;
+    }
+
+    // ---------------------------------------------------------------- decisions
+
+    private void decideOnEvent() {
+        final long fromNs = System.nanoTime();
+        control.decide(events.nowUs());
+        figures.processor.eventDecisionsNs += System.nanoTime() - fromNs;
+        figures.processor.eventDecisions++;
+    }
+
+    private void decideOnWake() {
+        final long fromNs = System.nanoTime();
+        control.decide(events.nowUs());
+        figures.processor.wakeDecisionsNs += System.nanoTime() - fromNs;
+        figures.processor.wakeDecisions++;
+    }
+
+    @Override
+    public void send(final String messageId, final long endpoint, final long timeoutUs) {
+        final OpenMessage sent = open.get(messageId);
+        sent.attempts++;
+        sent.callOut = true;
+        sent.callSentUs = events.nowUs();
+        figures.messages.attempts++;
+        calls.add(new AttemptCall(
+                events.nowUs(),
+                index,
+                callsMade++,
+                sent,
+                sent.attempts,
+                sent.message.destination(),
+                endpoint,
+                timeoutUs));
+    }
+
+    /** The calls since this was last asked. */
+    List<AttemptCall> takeCalls() {
+        final List<AttemptCall> taken = List.copyOf(calls);
+        calls.clear();
+        return taken;
+    }
+
+    /** A destination's answer, or silence; a call that takes longer than it may is ended here. */
+    void answered(final AttemptCall call, final Destinations.Answer answer) {
+        final boolean inTime = answer.delayUs() < call.timeoutUs();
+        final Courier.Result heard = inTime ? answer.result() : Courier.Result.TIMED_OUT;
+        final long atUs =
+                call.atUs() + Math.min(answer.delayUs(), Math.max(call.timeoutUs(), Destinations.LEAST_ANSWER_US));
+        final int own = process;
+        events.at(atUs, () -> {
+            final boolean heardHere = own == process && isOut(call);
+            if (answer.result() == Courier.Result.DELIVERED && !(heardHere && heard == Courier.Result.DELIVERED)) {
+                figures.messages.deliveriesUnheard++;
+            }
+            if (heardHere) {
+                tell(call, heard);
+            }
+        });
+    }
+
+    private boolean isOut(final AttemptCall call) {
+        return call.message().callOut && call.message().attempts == call.attempt();
+    }
+
+    private void tell(final AttemptCall call, final Courier.Result result) {
+        final OpenMessage message = call.message();
+        final String id = message.message.id();
+        message.callOut = false;
+        final boolean delivered = result == Courier.Result.DELIVERED;
+        if (!result.neverRan()) {
+            message.mayHaveRunSince(call.atUs());
+        }
+        if (delivered) {
+            end(id, () -> figures.messages.delivered++);
+        }
+        control.onOutcome(
+                events.nowUs(),
+                new Courier.Outcome(id, result, delivered, call.endpoint(), events.nowUs() - call.atUs(), 0, null));
+        decideOnEvent();
+    }
+
+    @Override
+    public void refuse(final String messageId, final long retryAfterUs) {
+        final OpenMessage refused = open.get(messageId);
+        final boolean givenUp = refused != null && refused.message.validUntilUs() - events.nowUs() < GIVEN_UP_WITHIN_US;
+        end(messageId, () -> {
+            figures.messages.refused++;
+            figures.messages.givenUp += givenUp ? 1 : 0;
+        });
+    }
+
+    @Override
+    public void fail(final String messageId) {
+        end(messageId, () -> figures.messages.failed++);
+    }
+
+    @Override
+    public void cancel(final String messageId, final int attempt) {
+        final OpenMessage cancelled = open.get(messageId);
+        if (cancelled == null || !cancelled.callOut) {
+            return;
+        }
+        final int number = cancelled.attempts;
+        final long sentUs = cancelled.callSentUs;
+        inThisProcess(0, () -> {
+            if (cancelled.callOut && cancelled.attempts == number) {
+                cancelled.callOut = false;
+                cancelled.mayHaveRunSince(sentUs);
+                tellCancelled(messageId, sentUs);
+            }
+        });
+    }
+
+    private void tellCancelled(final String messageId, final long sentUs) {
+        control.onOutcome(
+                events.nowUs(),
+                new Courier.Outcome(messageId, Courier.Result.CANCELLED, false, 0, events.nowUs() - sentUs, 0, null));
+        decideOnEvent();
+    }
+
+    @Override
+    public void closeIdle(final long endpoint) {
+        // Connections are not modelled.
+    }
+
+    @Override
+    public void follow() {
+        // The list is pushed: the watch is kept from the start.
+    }
+
+    @Override
+    public void wake(final long delayUs) {
+        inThisProcess(delayUs, this::decideOnWake);
+    }
+
+    // ---------------------------------------------------------------- stepping
+
+    /** Lets time pass until then. */
+    void runUntil(final long untilUs) {
+        events.runUntil(untilUs);
+    }
+
+    /** Adds something that happens to this courier. */
+    void at(final long atUs, final Runnable action) {
+        events.at(atUs, action);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/MessageCounts.java
@@ -0,0 +1,25 @@
+package driftchute.scale.fleet;
+
+/** What became of messages; the counts of couriers can be added up. */
+final class MessageCounts {
+    long taken, delivered, refused, failed, givenUp, late, endedTwice;
+    /** Attempts, and deliveries that a destination made but whose courier had stopped waiting or was killed. */
+    long attempts, deliveriesUnheard;
+
+    void add(final MessageCounts other) {
+        taken += other.taken;
+        delivered += other.delivered;
+        refused += other.refused;
+        failed += other.failed;
+        givenUp += other.givenUp;
+        late += other.late;
+        endedTwice += other.endedTwice;
+        attempts += other.attempts;
+        deliveriesUnheard += other.deliveriesUnheard;
+    }
+
+    /** Messages that have had their end. */
+    long ended() {
+        return delivered + refused + failed;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/fleet/Progress.java
@@ -0,0 +1,8 @@
+package driftchute.scale.fleet;
+
+/** Told now and then how far a run is. */
+@FunctionalInterface
+public interface Progress {
+    /** So much simulated time has passed, of so much. */
+    void at(double seconds, double ofSeconds);
+}
--- /dev/null
+++ b/src/test/java/driftchute/scale/ScaleCommandTest.java
@@ -0,0 +1,69 @@
+package driftchute.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Exit codes of the command line, and the file that a run writes. */
+final class ScaleCommandTest {
+    private static final int BAD_ARGUMENTS = 2;
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "fly",
+                "run --couriers many",
+                "run --couriers 0",
+                "run --down 1.1",
+                "run --scale 0",
+                "run --seconds 0",
+                "run --cut-zone 9",
+                "run --silent-watches -0.1",
+                "run --discovery-outage 700",
+                "run --threads 0",
+                "run --restarts -1",
+                "run --endpoints-per-destination NaN",
+                "run --events-per-second NaN",
+                "run --out /no/such/folder/result.json",
+                "run --unknown"
+            })
+    void badArgumentsExitWithTwo(final String arguments) {
+        assertEquals(BAD_ARGUMENTS, ScaleCommand.execute(arguments.isEmpty() ? new String[0] : arguments.split(" ")));
+    }
+
+    @Test
+    void helpExitsWithZero() {
+        assertEquals(0, ScaleCommand.execute("run", "--help"));
+    }
+
+    @Test
+    void aRunWritesItsParametersFiguresAndSums(@TempDir final Path folder) throws IOException {
+        final Path file = folder.resolve("result.json");
+        final int exitCode = ScaleCommand.execute(
+                "run",
+                "--couriers=3",
+                "--destinations=20",
+                "--events-per-second=10",
+                "--seconds=20",
+                "--restarts=1",
+                "--out=" + file);
+        final JsonNode result = new ObjectMapper().readTree(file.toFile());
+        assertEquals(0, exitCode);
+        assertEquals(3, result.at("/parameters/plan/couriers").asInt());
+        assertTrue(result.at("/machine/cores").asInt() > 0);
+        assertTrue(result.path("commit").isTextual());
+        assertTrue(result.path("figures").size() > 0);
+        for (final JsonNode check : result.path("checks")) {
+            assertTrue(check.path("holds").asBoolean(), check.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/scale/fleet/FleetRunTest.java
@@ -0,0 +1,76 @@
+package driftchute.scale.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import driftchute.scale.standin.FleetPlan;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A small fleet over 30 simulated seconds, with each of the disturbances; all that is asserted is counted. */
+final class FleetRunTest {
+    private static final int COURIERS = 20;
+    private static final int DESTINATIONS = 200;
+    private static final int SECONDS = 30;
+    private static final int CHANGES = 10;
+    private static final int RESTARTS = 3;
+    private static final double CHANGES_PER_DAY = CHANGES * Units.SECONDS_PER_DAY / SECONDS;
+
+    private static FleetParameters parameters(final long seed) {
+        return new FleetParameters(
+                new FleetPlan(COURIERS, DESTINATIONS, 1.7, 0.043, 3, 9, seed),
+                200,
+                CHANGES_PER_DAY,
+                SECONDS,
+                RESTARTS,
+                8,
+                0.1,
+                0,
+                FleetParameters.CutMode.RESTART,
+                5,
+                SurroundingsModel.DEFAULT);
+    }
+
+    private static FleetFigures play(final long seed, final int threads, final AnswerLoss loss)
+            throws InterruptedException {
+        return new FleetRun(parameters(seed), threads, loss).play((at, of) -> {});
+    }
+
+    private static List<String> failedChecks(final FleetFigures figures) {
+        return figures.checks().stream()
+                .filter(check -> !check.holds())
+                .map(FleetFigures.Check::name)
+                .toList();
+    }
+
+    @Test
+    void oneSeedGivesOneResultWhateverTheThreads() throws InterruptedException {
+        final FleetFigures first = play(1, 1, AnswerLoss.NONE);
+        assertEquals(first.repeatable(), play(1, 1, AnswerLoss.NONE).repeatable());
+        assertEquals(first.repeatable(), play(1, 3, AnswerLoss.NONE).repeatable());
+        assertNotEquals(first.repeatable(), play(2, 1, AnswerLoss.NONE).repeatable());
+    }
+
+    @Test
+    void everyMessageEndsOnceAndEveryChangeComesIntoForce() throws InterruptedException {
+        final FleetFigures figures = play(1, 1, AnswerLoss.NONE);
+        assertEquals(List.of(), failedChecks(figures));
+        assertEquals(CHANGES, figures.value("changes made"));
+        assertEquals(0, figures.value("couriers without the newest list at the end"));
+        assertEquals(COURIERS, figures.value("ready after first start: samples"));
+        assertTrue(figures.value("messages taken") > 0);
+        assertTrue(figures.value("calls to destinations that were down") > 0);
+        assertTrue(figures.value("change in force: worst") > 8, "the outage holds up a change");
+    }
+
+    @Test
+    void aDroppedDeliveryIsFoundByTheSums() throws InterruptedException {
+        final FleetFigures figures = play(1, 1, callNumber -> callNumber == 1_000);
+        assertFalse(figures.checksHold());
+        assertTrue(
+                failedChecks(figures).contains("messages without an end after their time"),
+                () -> "failed: " + failedChecks(figures));
+    }
+}
