Hollow couriers keep their list in the real table and state for destinations in use only

Cause: the hollow couriers held their list in maps of their own, and the decisions were told of all.

Change: each hollow courier has the real table, fed by the real parser, and hands it to the decisions as their directory. A restarted courier finds its list as the process before had it, or begins without one (--no-stored-list); reading a stored copy is not modelled. New figures: bytes of list state, destinations with state, lanes visited by steps.

Without the stored list the new test's count of whole lists at restart is 3 or more; with it, 0.

--- a/src/main/java/driftchute/scale/RunCommand.java
+++ b/src/main/java/driftchute/scale/RunCommand.java
@@ -109,6 +109,18 @@
             description = "Messages that each courier holds when it first starts (default: ${DEFAULT-VALUE}).")
     private int backlog;
 
+    @Option(
+            names = "--destinations-kept",
+            defaultValue = "4000",
+            description = "Destinations at rest of which a courier keeps what it has learned, at most"
+                    + " (default: ${DEFAULT-VALUE}).")
+    private int destinationsKept;
+
+    @Option(
+            names = "--no-stored-list",
+            description = "A restarted courier begins without a list, instead of with the one of the process before.")
+    private boolean noStoredList;
+
     @Option(
             names = "--seed",
             defaultValue = "1",
@@ -158,6 +170,8 @@
                     cutZone,
                     cutMode,
                     backlog,
+                    destinationsKept,
+                    !noStoredList,
                     SurroundingsModel.DEFAULT);
         } catch (final IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage(), e);
--- a/src/main/java/driftchute/scale/fleet/CourierFigures.java
+++ b/src/main/java/driftchute/scale/fleet/CourierFigures.java
@@ -16,6 +16,9 @@
 
     final List<Long> restartReadyUs = new ArrayList<>();
 
+    /** Lanes that the steps of earlier processes visited. */
+    long lanesVisited;
+
     CourierFigures(final long startUs, final long endUs) {
         this.traffic = new ControlTraffic(startUs, endUs);
     }
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -45,6 +45,7 @@
     private static final double READY_SECONDS = 10;
     private static final double CONTROL_BYTES_A_SECOND = 6 * 1024;
     private static final double CONTROL_CORE_PERCENT = 3.4;
+    private static final double ENDPOINT_BYTES = 80;
     private static final double SECONDS_PER_MINUTE = 60;
     private static final double NS_PER_SECOND = 1e9;
     private static final double NS_PER_MS = 1e6;
@@ -215,11 +216,25 @@
         counted("messages ended late", total.late);
         counted("messages open at the end", sum(HollowCourier::openMessages));
         counted("attempts", total.attempts);
-        counted("endpoints listed, each courier", (double) sum(HollowCourier::listed) / couriers.size());
+        addState();
+        return total;
+    }
+
+    private void addState() {
+        final double listed = sum(HollowCourier::listed);
+        final double listBytes = sum(HollowCourier::listBytes);
+        counted("endpoints listed, each courier", listed / couriers.size());
+        add("list state, each courier", listBytes / couriers.size(), "B", Basis.COUNTED, null);
+        add("list state, each endpoint", listBytes / Math.max(1, listed), "B", Basis.COUNTED, ENDPOINT_BYTES);
         counted(
                 "destinations that a courier had a message for",
                 (double) sum(HollowCourier::destinationsContacted) / couriers.size());
-        return total;
+        counted(
+                "destinations with state, each courier",
+                (double) sum(HollowCourier::destinationsWithState) / couriers.size());
+        counted(
+                "lanes visited by steps, each courier and second",
+                sum(HollowCourier::lanesVisited) / seconds / couriers.size());
     }
 
     private void addDestinations(final Destinations destinations) {
--- a/src/main/java/driftchute/scale/fleet/FleetParameters.java
+++ b/src/main/java/driftchute/scale/fleet/FleetParameters.java
@@ -15,6 +15,8 @@
  * @param cutZone the zone whose couriers are cut off at one moment, or {@link #NO_ZONE}
  * @param cutMode what happens to them
  * @param backlogPerCourier messages that a courier holds from earlier when it first starts
+ * @param destinationsKept destinations at rest of which a courier keeps what it has learned, at most
+ * @param storedList true if a restarted courier finds its list as the process before it had it
  * @param model figures assumed of what surrounds the couriers
  */
 public record FleetParameters(
@@ -28,6 +30,8 @@
         int cutZone,
         CutMode cutMode,
         int backlogPerCourier,
+        int destinationsKept,
+        boolean storedList,
         SurroundingsModel model) {
     /** No zone is cut off. */
     public static final int NO_ZONE = -1;
@@ -52,6 +56,7 @@
         require(
                 cutZone >= NO_ZONE && cutZone < plan.zones(),
                 "the zones are 0 to " + (plan.zones() - 1) + ", not " + cutZone);
+        require(destinationsKept >= 0, "destinations kept are not negative: " + destinationsKept);
         require(backlogPerCourier >= 0, "a backlog is not negative: " + backlogPerCourier);
     }
 
--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -36,7 +36,7 @@
     private final BitSet contacted = new BitSet();
     private final CourierFigures figures;
 
-    private CourierList list = new HashCourierList();
+    private CourierList list = new CourierList();
     private Control control;
     private ListWatch watch;
     /** Processes so far; what was meant for an earlier one is void. */
@@ -106,7 +106,8 @@
     /** The one place where the decisions are made; they are given a seed of their own at each start. */
     private Control newControl() {
         final long member = ((long) index << Integer.SIZE) + process;
-        return new Control(settings, Seeds.of(parameters.plan().seed(), Seeds.DECISIONS, member), this);
+        final long seed = Seeds.of(parameters.plan().seed(), Seeds.DECISIONS, member);
+        return new Control(settings, seed, this, list, parameters.destinationsKept());
     }
 
     private void begin() {
@@ -128,8 +129,9 @@
         ready = false;
         process++;
         watch.close();
+        figures.lanesVisited += control.lanesVisited();
         control = null;
-        list = list.afterRestart();
+        list = parameters.storedList() ? list : new CourierList();
         open.values().forEach(this::cutOff);
         events.after(parameters.model().downMs() * Units.US_PER_MS, this::startProcess);
     }
@@ -174,9 +176,9 @@
 
     private void onLine(final byte[] line) {
         final long before = list.version();
-        final CourierList.Change change = readList(line);
+        final List<Courier.Endpoint> changed = readList(line);
         final long fromNs = System.nanoTime();
-        control.onList(events.nowUs(), change.update(), change.entries());
+        control.onList(events.nowUs(), Courier.Update.CHANGES, changed);
         figures.processor.applyNs += System.nanoTime() - fromNs;
         if (ready) {
             decideOnEvent();
@@ -186,7 +188,7 @@
         figures.inForce(discovery.madeBetween(before, list.version()), processStartUs, events.nowUs());
     }
 
-    private CourierList.Change readList(final byte[] line) {
+    private List<Courier.Endpoint> readList(final byte[] line) {
         final long fromNs = ProcessorTime.threadNs();
         try {
             return list.feed(line);
@@ -205,6 +207,11 @@
         return list.size();
     }
 
+    /** Heap that the list takes. */
+    long listBytes() {
+        return list.bytes();
+    }
+
     // ---------------------------------------------------------------- messages
 
     private void makeBacklog() {
@@ -406,6 +413,16 @@
         inThisProcess(delayUs, this::decideOnWake);
     }
 
+    /** Destinations that the decisions hold state for. */
+    int destinationsWithState() {
+        return control == null ? 0 : control.destinationsHeld();
+    }
+
+    /** Lanes that the steps of all processes have visited. */
+    long lanesVisited() {
+        return figures.lanesVisited + (control == null ? 0 : control.lanesVisited());
+    }
+
     // ---------------------------------------------------------------- stepping
 
     /** Lets time pass until then. */
--- a/src/test/java/driftchute/scale/fleet/FleetRunTest.java
+++ b/src/test/java/driftchute/scale/fleet/FleetRunTest.java
@@ -18,7 +18,7 @@
     private static final int RESTARTS = 3;
     private static final double CHANGES_PER_DAY = CHANGES * Units.SECONDS_PER_DAY / SECONDS;
 
-    private static FleetParameters parameters(final long seed) {
+    private static FleetParameters parameters(final long seed, final boolean storedList) {
         return new FleetParameters(
                 new FleetPlan(COURIERS, DESTINATIONS, 1.7, 0.043, 3, 9, seed),
                 200,
@@ -30,12 +30,14 @@
                 0,
                 FleetParameters.CutMode.RESTART,
                 5,
+                50,
+                storedList,
                 SurroundingsModel.DEFAULT);
     }
 
     private static FleetFigures play(final long seed, final int threads, final AnswerLoss loss)
             throws InterruptedException {
-        return new FleetRun(parameters(seed), threads, loss).play((at, of) -> {});
+        return new FleetRun(parameters(seed, false), threads, loss).play((at, of) -> {});
     }
 
     private static List<String> failedChecks(final FleetFigures figures) {
@@ -65,6 +67,15 @@
         assertTrue(figures.value("change in force: worst") > 8, "the outage holds up a change");
     }
 
+    @Test
+    void aRestartedCourierThatFindsItsListFetchesOnlyWhatChanged() throws InterruptedException {
+        final FleetFigures without = play(1, 1, AnswerLoss.NONE);
+        final FleetFigures with = new FleetRun(parameters(1, true), 1).play((at, of) -> {});
+        assertTrue(without.value("whole lists at restart") >= RESTARTS);
+        assertEquals(0, with.value("whole lists at restart"));
+        assertEquals(0, with.value("couriers without the newest list at the end"));
+    }
+
     @Test
     void aDroppedDeliveryIsFoundByTheSums() throws InterruptedException {
         final FleetFigures figures = play(1, 1, callNumber -> callNumber == 1_000);
