--- /dev/null
+++ b/src/main/java/driftchute/scale/slope/HeapUse.java
@@ -0,0 +1,28 @@
+package driftchute.scale.slope;
+
+import java.lang.ref.Reference;
+import java.util.function.Supplier;
+
+/** Heap that an object keeps alive, as the difference in used heap around its making. */
+final class HeapUse {
+    private static final int COLLECTIONS = 3;
+
+    private HeapUse() {}
+
+    /** Bytes in use more, once the object is made and garbage is collected. */
+    static double bytesHeldBy(final Supplier<?> maker) {
+        final long before = usedAfterCollection();
+        final Object held = maker.get();
+        final long after = usedAfterCollection();
+        Reference.reachabilityFence(held);
+        return after - before;
+    }
+
+    private static long usedAfterCollection() {
+        for (int round = 0; round < COLLECTIONS; round++) {
+            System.gc();
+        }
+        final Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/slope/SeriesResult.java
@@ -0,0 +1,87 @@
+package driftchute.scale.slope;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A series as measured: for each size the rounds, their median, and the line through the medians.
+ *
+ * @param name the series
+ * @param sizeUnit what the sizes count
+ * @param valueUnit the unit of the figures
+ * @param points the figures by size
+ * @param fit the line through the medians
+ * @param targetSize the size to which the line is carried
+ * @param atTarget the line's value there
+ * @param extrapolation how many times the largest measured size that is
+ */
+public record SeriesResult(
+        String name,
+        String sizeUnit,
+        String valueUnit,
+        List<Point> points,
+        LeastSquares fit,
+        int targetSize,
+        double atTarget,
+        double extrapolation) {
+
+    /** One size: the figures of all rounds, in the order taken, with their median and extremes. */
+    public record Point(int size, List<Double> rounds, double median, double least, double most) {
+        private static Point of(final int size, final List<Double> rounds) {
+            final List<Double> sorted = rounds.stream().sorted().toList();
+            final int middle = sorted.size() / 2;
+            final double median =
+                    sorted.size() % 2 == 1 ? sorted.get(middle) : (sorted.get(middle - 1) + sorted.get(middle)) / 2;
+            return new Point(size, List.copyOf(rounds), median, sorted.get(0), sorted.get(sorted.size() - 1));
+        }
+    }
+
+    /** Measures a series: in each round every size once, so that a disturbance does not fall on one size alone. */
+    static SeriesResult measure(final Series series, final List<Integer> sizes, final int rounds) {
+        final List<List<Double>> figures = new ArrayList<>();
+        sizes.forEach(size -> figures.add(new ArrayList<>()));
+        for (int round = 0; round < rounds; round++) {
+            for (int index = 0; index < sizes.size(); index++) {
+                figures.get(index).add(series.measurement().at(sizes.get(index)));
+            }
+        }
+        final List<Point> points = new ArrayList<>();
+        for (int index = 0; index < sizes.size(); index++) {
+            points.add(Point.of(sizes.get(index), figures.get(index)));
+        }
+        final LeastSquares fit = LeastSquares.fit(
+                sizes.stream().map(Integer::doubleValue).toList(),
+                points.stream().map(Point::median).toList());
+        final int largest = sizes.stream().mapToInt(Integer::intValue).max().orElseThrow();
+        return new SeriesResult(
+                series.name(),
+                series.sizeUnit(),
+                series.valueUnit(),
+                points,
+                fit,
+                series.targetSize(),
+                fit.at(series.targetSize()),
+                (double) series.targetSize() / largest);
+    }
+
+    /** The result as a table for a terminal. */
+    String table() {
+        final StringBuilder text = new StringBuilder();
+        text.append(String.format("%s: %s, against %s%n", name, valueUnit, sizeUnit));
+        text.append(String.format("%10s %16s %16s %16s %16s%n", "size", "median", "least", "most", "residual"));
+        for (int index = 0; index < points.size(); index++) {
+            final Point point = points.get(index);
+            text.append(String.format(
+                    "%10d %16.1f %16.1f %16.1f %16.1f%n",
+                    point.size(),
+                    point.median(),
+                    point.least(),
+                    point.most(),
+                    fit.residuals().get(index)));
+        }
+        text.append(String.format(
+                "fit: %.1f + %.4f per unit of size, R2 %.4f; at %d: %.1f (%.1f times the largest size)%n",
+                fit.intercept(), fit.slope(), fit.determination(), targetSize, atTarget, extrapolation));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/scale/slope/SeriesResultTest.java
@@ -0,0 +1,56 @@
+package driftchute.scale.slope;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** How a series is measured and summed up, with a made-up measurement. */
+final class SeriesResultTest {
+    private static final double EXACT = 1e-9;
+    private static final List<Integer> SIZES = List.of(10, 20, 30, 40);
+
+    private final List<Integer> asked = new ArrayList<>();
+
+    private SeriesResult measure(final double... disturbanceByRound) {
+        final Series series = new Series("made-up", "items", "units", SIZES, 400, size -> {
+            final double disturbance = disturbanceByRound[asked.size() / SIZES.size()];
+            asked.add(size);
+            return 5 + 2 * size + disturbance;
+        });
+        return SeriesResult.measure(series, SIZES, disturbanceByRound.length);
+    }
+
+    @Test
+    void eachRoundMeasuresEverySizeOnce() {
+        measure(0, 0);
+        assertEquals(List.of(10, 20, 30, 40, 10, 20, 30, 40), asked);
+    }
+
+    @Test
+    void theLineGoesThroughTheMediansAndIsCarriedToTheTarget() {
+        final SeriesResult result = measure(1000, 0, 3);
+        assertEquals(8, result.fit().intercept(), EXACT);
+        assertEquals(2, result.fit().slope(), EXACT);
+        assertEquals(808, result.atTarget(), EXACT);
+        assertEquals(10, result.extrapolation(), EXACT);
+        final SeriesResult.Point first = result.points().get(0);
+        assertEquals(List.of(1025.0, 25.0, 28.0), first.rounds());
+        assertEquals(25, first.least(), EXACT);
+        assertEquals(1025, first.most(), EXACT);
+    }
+
+    @Test
+    void anEvenCountOfRoundsHasTheMiddleOfTwo() {
+        assertEquals(26, measure(0, 2).points().get(0).median(), EXACT);
+    }
+
+    @Test
+    void theTableHasALineForEachSizeAndTheFit() {
+        final String table = measure(0).table();
+        SIZES.forEach(size -> assertTrue(table.contains(String.format("%10d ", size)), table));
+        assertTrue(table.contains("fit: 5.0 + 2.0000 per unit of size"), table);
+    }
+}
