Slopes: count heap after full collections only, and tell a square from a line

Change: five collections before each reading, and the object is made twice, the second time counts. The result also tells the power with which the figure grows between the two largest sizes.

--- a/src/main/java/driftchute/scale/slope/DecisionFixture.java
+++ b/src/main/java/driftchute/scale/slope/DecisionFixture.java
@@ -4,6 +4,7 @@
 import driftchute.Courier;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * The decision module with a list of the target's shape, on a clock that only the measurement moves. This is the one
@@ -15,7 +16,10 @@
     static final double ENDPOINTS_PER_DESTINATION = 1.7;
 
     private static final int COURIERS = 660;
-    private static final int ZONES = 9;
+    /** Shared by all endpoints, so that only the module's own state is counted. */
+    private static final List<String> ZONE_NAMES =
+            IntStream.range(0, 9).mapToObj(zone -> "zone-" + zone).toList();
+
     private static final int SLOTS = 256;
     private static final long DAY_US = 24 * 3600 * SECOND_US;
     private static final long SEED = 7;
@@ -39,7 +43,12 @@
         final List<Courier.Endpoint> endpoints = new ArrayList<>(count);
         for (int index = 0; index < count; index++) {
             endpoints.add(new Courier.Endpoint(
-                    index + 1, Courier.Condition.LISTED, "zone-" + index % ZONES, 1, 0, index % destinations));
+                    index + 1,
+                    Courier.Condition.LISTED,
+                    ZONE_NAMES.get(index % ZONE_NAMES.size()),
+                    1,
+                    0,
+                    index % destinations));
         }
         return endpoints;
     }
@@ -91,7 +100,7 @@
                 new Courier.MessageClass("notice", Courier.Effect.SAFE, false, false, 1, 0, SECOND_US, DAY_US, 0);
         return new Courier.Settings(
                 COURIERS,
-                "zone-0",
+                ZONE_NAMES.get(0),
                 false,
                 Courier.Weights.ROUGH,
                 Courier.Fade.LINEAR,
--- a/src/main/java/driftchute/scale/slope/HeapUse.java
+++ b/src/main/java/driftchute/scale/slope/HeapUse.java
@@ -5,12 +5,21 @@
 
 /** Heap that an object keeps alive, as the difference in used heap around its making. */
 final class HeapUse {
-    private static final int COLLECTIONS = 3;
+    /** The serial collector leaves some garbage in place, and compacts all only at every fourth collection. */
+    private static final int COLLECTIONS = 5;
 
     private HeapUse() {}
 
-    /** Bytes in use more, once the object is made and garbage is collected. */
+    /**
+     * Bytes in use more, once the object is made and garbage is collected. It is made twice and the second time
+     * counts: the first one loads classes and lets go of what the start of the process left behind.
+     */
     static double bytesHeldBy(final Supplier<?> maker) {
+        measure(maker);
+        return measure(maker);
+    }
+
+    private static long measure(final Supplier<?> maker) {
         final long before = usedAfterCollection();
         final Object held = maker.get();
         final long after = usedAfterCollection();
--- a/src/main/java/driftchute/scale/slope/SeriesResult.java
+++ b/src/main/java/driftchute/scale/slope/SeriesResult.java
@@ -14,6 +14,8 @@
  * @param targetSize the size to which the line is carried
  * @param atTarget the line's value there
  * @param extrapolation how many times the largest measured size that is
+ * @param growthExponent the power of the size with which the median grows between the two largest sizes: 1 for a line,
+ *     2 for a square; NaN where a median is not above 0
  */
 public record SeriesResult(
         String name,
@@ -23,7 +25,8 @@
         LeastSquares fit,
         int targetSize,
         double atTarget,
-        double extrapolation) {
+        double extrapolation,
+        double growthExponent) {
 
     /** One size: the figures of all rounds, in the order taken, with their median and extremes. */
     public record Point(int size, List<Double> rounds, double median, double least, double most) {
@@ -61,7 +64,14 @@
                 fit,
                 series.targetSize(),
                 fit.at(series.targetSize()),
-                (double) series.targetSize() / largest);
+                (double) series.targetSize() / largest,
+                growthExponent(points.get(points.size() - 2), points.get(points.size() - 1)));
+    }
+
+    private static double growthExponent(final Point smaller, final Point larger) {
+        return smaller.median() <= 0 || larger.median() <= 0
+                ? Double.NaN
+                : Math.log(larger.median() / smaller.median()) / Math.log((double) larger.size() / smaller.size());
     }
 
     /** The result as a table for a terminal. */
@@ -82,6 +92,7 @@
         text.append(String.format(
                 "fit: %.1f + %.4f per unit of size, R2 %.4f; at %d: %.1f (%.1f times the largest size)%n",
                 fit.intercept(), fit.slope(), fit.determination(), targetSize, atTarget, extrapolation));
+        text.append(String.format("growth between the two largest sizes: size to the power of %.2f%n", growthExponent));
         return text.toString();
     }
 }
--- a/src/test/java/driftchute/scale/slope/SeriesResultTest.java
+++ b/src/test/java/driftchute/scale/slope/SeriesResultTest.java
@@ -47,6 +47,16 @@
         assertEquals(26, measure(0, 2).points().get(0).median(), EXACT);
     }
 
+    @Test
+    void aSquareIsToldFromALine() {
+        final Series square = new Series("square", "items", "units", SIZES, 400, size -> (double) size * size);
+        assertEquals(2, SeriesResult.measure(square, SIZES, 1).growthExponent(), EXACT);
+        final Series line = new Series("line", "items", "units", SIZES, 400, size -> 3.0 * size);
+        assertEquals(1, SeriesResult.measure(line, SIZES, 1).growthExponent(), EXACT);
+        final Series nothing = new Series("nothing", "items", "units", SIZES, 400, size -> 0);
+        assertTrue(Double.isNaN(SeriesResult.measure(nothing, SIZES, 1).growthExponent()));
+    }
+
     @Test
     void theTableHasALineForEachSizeAndTheFit() {
         final String table = measure(0).table();
