--- a/src/main/java/driftchute/scale/slope/HeapUse.java
+++ b/src/main/java/driftchute/scale/slope/HeapUse.java
@@ -4,7 +4,7 @@
 import java.util.function.Supplier;
 
 /** Heap that an object keeps alive, as the difference in used heap around its making. */
-final class HeapUse {
+public final class HeapUse {
     /** The serial collector leaves some garbage in place, and compacts all only at every fourth collection. */
     private static final int COLLECTIONS = 5;
 
@@ -14,7 +14,7 @@
      * Bytes in use more, once the object is made and garbage is collected. It is made twice and the second time
      * counts: the first one loads classes and lets go of what the start of the process left behind.
      */
-    static double bytesHeldBy(final Supplier<?> maker) {
+    public static double bytesHeldBy(final Supplier<?> maker) {
         measure(maker);
         return measure(maker);
     }
--- a/src/main/java/driftchute/scale/slope/ProcessorTime.java
+++ b/src/main/java/driftchute/scale/slope/ProcessorTime.java
@@ -4,7 +4,7 @@
 import java.lang.management.ThreadMXBean;
 
 /** Processor time of the calling thread: on a shared machine it varies far less than elapsed time. */
-final class ProcessorTime {
+public final class ProcessorTime {
     private static final int WARM_UP_CALLS = 20;
     private static final int LEAST_CALLS = 10;
     private static final long LEAST_NANOS = 200_000_000;
@@ -15,7 +15,7 @@
     private ProcessorTime() {}
 
     /** Microseconds that one call takes on average, after some unmeasured ones, over at least 0.2 s of them. */
-    static double microsPerCall(final Runnable operation) {
+    public static double microsPerCall(final Runnable operation) {
         for (int call = 0; call < WARM_UP_CALLS; call++) {
             operation.run();
         }
@@ -31,7 +31,7 @@
     }
 
     /** Microseconds that a single call takes; for what cannot be repeated on the same state. */
-    static double microsOnce(final Runnable operation) {
+    public static double microsOnce(final Runnable operation) {
         final long beginNanos = THREADS.getCurrentThreadCpuTime();
         operation.run();
         return (THREADS.getCurrentThreadCpuTime() - beginNanos) / NANOS_PER_MICRO;
--- a/src/main/java/driftchute/scale/slope/SlopeCommand.java
+++ b/src/main/java/driftchute/scale/slope/SlopeCommand.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,10 +29,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Parameters(
-            paramLabel = "NAME",
-            description = "One of: ${COMPLETION-CANDIDATES}",
-            completionCandidates = Names.class)
+    @Parameters(paramLabel = "NAME", description = "Which slope; an unknown name is answered with the known ones.")
     private String name;
 
     @Option(
@@ -49,13 +48,16 @@
     @Option(names = "--json", paramLabel = "FILE", description = "Where to write the result as JSON.")
     private Path json;
 
-    /** The names of the slopes, for the help text. */
-    static final class Names extends ArrayList<String> {
-        private static final long serialVersionUID = 1L;
+    private final Map<String, List<Series>> slopes;
 
-        Names() {
-            super(SlopeCatalog.names());
-        }
+    /** With the slopes of this package. */
+    public SlopeCommand() {
+        this(SlopeCatalog.all());
+    }
+
+    /** With slopes of the caller's, by their names. */
+    public SlopeCommand(final Map<String, List<Series>> slopes) {
+        this.slopes = new TreeMap<>(slopes);
     }
 
     /** Runs the command by itself. */
@@ -83,8 +85,8 @@
     }
 
     private List<Series> chosen() {
-        final List<Series> chosen = SlopeCatalog.named(name);
-        require(chosen != null, "no slope is named '" + name + "'; there are " + SlopeCatalog.names());
+        final List<Series> chosen = slopes.get(name);
+        require(chosen != null, "no slope is named '" + name + "'; there are " + slopes.keySet());
         require(rounds >= 1, "--rounds must be at least 1, not " + rounds);
         if (sizes != null) {
             require(
--- a/src/test/java/driftchute/scale/slope/SlopeCommandTest.java
+++ b/src/test/java/driftchute/scale/slope/SlopeCommandTest.java
@@ -9,6 +9,8 @@
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,7 +53,17 @@
     void anUnknownNameIsToldWithTheKnownOnes() {
         run("unheard-of");
         assertTrue(err.toString().contains("no slope is named 'unheard-of'"), err.toString());
-        SlopeCatalog.names().forEach(name -> assertTrue(err.toString().contains(name), name));
+        SlopeCatalog.all().keySet().forEach(name -> assertTrue(err.toString().contains(name), name));
+    }
+
+    @Test
+    void aCallerMayBringItsOwnSlopes() {
+        final Series doubled = new Series("doubled", "items", "units", List.of(1, 2, 3, 4), 10, size -> 2.0 * size);
+        final CommandLine command =
+                new CommandLine(new SlopeCommand(Map.of("own", List.of(doubled)))).setOut(new PrintWriter(out));
+        assertEquals(0, command.execute("own", "--rounds", "1"));
+        assertTrue(out.toString().contains("fit: 0.0 + 2.0000 per unit of size"), out.toString());
+        assertEquals(2, command.setErr(new PrintWriter(err)).execute("state"), "others are not known then");
     }
 
     @Test
