--- a/src/main/java/driftchute/scale/real/RealCourier.java
+++ b/src/main/java/driftchute/scale/real/RealCourier.java
@@ -30,7 +30,10 @@
     private final Path folder;
     private final CourierConfiguration configuration;
     private final ManagementClient management;
-    private Process process;
+    /** Ends the process also where this program is ended from outside. */
+    private final Thread endWithProgram = new Thread(this::destroy, "end courier");
+
+    private volatile Process process;
     private long startedNs;
     /** Size of the log when the process was started. */
     private long logStart;
@@ -50,6 +53,7 @@
         this.folder = folder;
         this.configuration = configuration;
         this.management = new ManagementClient(configuration.management());
+        Runtime.getRuntime().addShutdownHook(endWithProgram);
     }
 
     /** Starts the process; the state of one before it, if there was any, is found again. */
@@ -208,8 +212,15 @@
         return folder.resolve("config.json");
     }
 
+    private void destroy() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         kill();
+        Runtime.getRuntime().removeShutdownHook(endWithProgram);
     }
 }
