Test the median of rounds with the middle one last in no place

With the median in the last round the test passed also where the last round was taken for the median: seen by such a change. It fails for that change now.

--- a/src/test/java/driftchute/scale/slope/SeriesResultTest.java
+++ b/src/test/java/driftchute/scale/slope/SeriesResultTest.java
@@ -31,13 +31,13 @@
 
     @Test
     void theLineGoesThroughTheMediansAndIsCarriedToTheTarget() {
-        final SeriesResult result = measure(1000, 0, 3);
+        final SeriesResult result = measure(1000, 3, 0);
         assertEquals(8, result.fit().intercept(), EXACT);
         assertEquals(2, result.fit().slope(), EXACT);
         assertEquals(808, result.atTarget(), EXACT);
         assertEquals(10, result.extrapolation(), EXACT);
         final SeriesResult.Point first = result.points().get(0);
-        assertEquals(List.of(1025.0, 25.0, 28.0), first.rounds());
+        assertEquals(List.of(1025.0, 28.0, 25.0), first.rounds());
         assertEquals(25, first.least(), EXACT);
         assertEquals(1025, first.most(), EXACT);
     }
