--- /dev/null
+++ b/src/main/java/driftchute/scale/real/BacklogFiller.java
@@ -0,0 +1,130 @@
+package driftchute.scale.real;
+
+import driftchute.scale.standin.ClientConnection;
+import driftchute.scale.standin.HandIn;
+import driftchute.scale.standin.HandInAnswer;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Hands a number of messages in as fast as a number of clients can, each message once. It gives up when no answer has
+ * come for some time.
+ */
+final class BacklogFiller {
+    private static final int DIGITS = 3;
+    private static final double NS_PER_MS = 1_000_000;
+    private static final double NS_PER_SECOND = 1_000_000_000;
+    private static final long TIMEOUT_MS = TimeUnit.DAYS.toMillis(1);
+
+    private final InetSocketAddress courier;
+    private final int destinations;
+    private final byte[] body;
+    private final int messages;
+    private final Duration giveUp;
+    private final AtomicInteger next = new AtomicInteger();
+    private final AtomicLong answeredNs = new AtomicLong();
+
+    BacklogFiller(
+            final InetSocketAddress courier,
+            final int destinations,
+            final int bodyBytes,
+            final int messages,
+            final Duration giveUp) {
+        this.courier = courier;
+        this.destinations = destinations;
+        this.body = new byte[bodyBytes];
+        Arrays.fill(body, (byte) 'x');
+        this.messages = messages;
+        this.giveUp = giveUp;
+    }
+
+    /** What one client saw. */
+    private static final class Tally {
+        private final int[] counts = new int[HandInAnswer.Result.values().length];
+        private final Histogram latencies = new Histogram(DIGITS);
+
+        private int count(final HandInAnswer.Result result) {
+            return counts[result.ordinal()];
+        }
+
+        private void add(final Tally other) {
+            for (int index = 0; index < counts.length; index++) {
+                counts[index] += other.counts[index];
+            }
+            latencies.add(other.latencies);
+        }
+    }
+
+    BacklogSlopeResult.HandInCounts fill(final int clients) throws InterruptedException, ExecutionException {
+        final ExecutorService threads = Executors.newFixedThreadPool(clients);
+        final long beginNs = System.nanoTime();
+        answeredNs.set(beginNs);
+        final Tally total = new Tally();
+        try {
+            final List<Future<Tally>> running = new ArrayList<>();
+            for (int count = 0; count < clients; count++) {
+                running.add(threads.submit(this::client));
+            }
+            for (final Future<Tally> one : running) {
+                total.add(one.get());
+            }
+        } finally {
+            threads.shutdownNow();
+        }
+        final int handedIn = Arrays.stream(total.counts).sum();
+        return new BacklogSlopeResult.HandInCounts(
+                total.count(HandInAnswer.Result.TAKEN_ON),
+                total.count(HandInAnswer.Result.REFUSED),
+                total.count(HandInAnswer.Result.FAILED),
+                total.count(HandInAnswer.Result.NO_ANSWER),
+                messages - handedIn,
+                (answeredNs.get() - beginNs) / NS_PER_SECOND,
+                total.latencies.getValueAtPercentile(50) / NS_PER_MS,
+                total.latencies.getValueAtPercentile(99) / NS_PER_MS,
+                total.latencies.getMaxValue() / NS_PER_MS);
+    }
+
+    private Tally client() {
+        final Tally tally = new Tally();
+        try (ClientConnection connection = new ClientConnection(courier)) {
+            for (int index = next.getAndIncrement();
+                    index < messages && answersCome();
+                    index = next.getAndIncrement()) {
+                final long sentNs = System.nanoTime();
+                final HandInAnswer answer = connection.handIn(message(index));
+                tally.counts[answer.result().ordinal()]++;
+                if (answer.result() != HandInAnswer.Result.NO_ANSWER) {
+                    final long nowNs = System.nanoTime();
+                    tally.latencies.recordValue(nowNs - sentNs);
+                    answeredNs.accumulateAndGet(nowNs, Math::max);
+                }
+            }
+        }
+        return tally;
+    }
+
+    private boolean answersCome() {
+        return System.nanoTime() - answeredNs.get() < giveUp.toNanos();
+    }
+
+    private HandIn message(final int index) {
+        return new HandIn(
+                String.format("%016x", index),
+                CourierConfiguration.SAFE_CLASS,
+                null,
+                TIMEOUT_MS,
+                index % destinations,
+                body);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/scale/real/BacklogSlopeCommand.java
@@ -0,0 +1,234 @@
+package driftchute.scale.real;
+
+import driftchute.scale.standin.DiscoveryServer;
+import driftchute.scale.standin.FleetPlan;
+import driftchute.scale.standin.ListHistory;
+import driftchute.scale.standin.LoopbackPorts;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures what a backlog costs one real courier, at several sizes of the backlog. */
+@Command(
+        name = "real-backlog",
+        mixinStandardHelpOptions = true,
+        description = "Starts one real courier for each size, hands in messages for destinations that refuse"
+                + " connections, and measures memory, journal and the start after a SIGKILL.")
+public final class BacklogSlopeCommand implements Callable<Integer> {
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration GIVE_UP = Duration.ofSeconds(10);
+    private static final Duration SETTLE = Duration.ofSeconds(2);
+    private static final Duration PROCESSOR_SPAN = Duration.ofSeconds(5);
+    private static final Duration RESTART_PAUSE = Duration.ofMillis(600);
+    private static final int DISK_MB = 4096;
+    private static final int MAX_OPEN = 100_000_000;
+    private static final double ENDPOINTS_PER_DESTINATION = 1.7;
+    private static final double BYTES_PER_MB = 1_000_000;
+    private static final double NS_PER_SECOND = 1_000_000_000;
+    private static final double PERCENT = 100;
+    private static final String ZONE = "r0z0";
+    private static final String OUT_OF_MEMORY = "OutOfMemoryError";
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private CourierOptions options;
+
+    @Option(
+            names = "--messages",
+            split = ",",
+            defaultValue = "1000,10000,40000,150000",
+            description = "sizes to measure (default: ${DEFAULT-VALUE})")
+    private int[] messages;
+
+    @Option(
+            names = "--destinations",
+            defaultValue = "500",
+            description = "destinations, all of which refuse connections (default: ${DEFAULT-VALUE})")
+    private int destinations;
+
+    @Option(
+            names = "--clients",
+            defaultValue = "16",
+            description = "clients that hand messages in (default: ${DEFAULT-VALUE})")
+    private int clients;
+
+    @Option(names = "--body-bytes", defaultValue = "212", description = "size of a message (default: ${DEFAULT-VALUE})")
+    private int bodyBytes;
+
+    /** Runs this command alone. */
+    public static void main(final String[] args) {
+        System.exit(new CommandLine(new BacklogSlopeCommand()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException, ExecutionException {
+        options.check(spec);
+        CourierOptions.atLeast(spec, "--destinations", destinations, 1);
+        CourierOptions.atLeast(spec, "--clients", clients, 1);
+        CourierOptions.atLeast(spec, "--body-bytes", bodyBytes, 0);
+        for (final int size : messages) {
+            CourierOptions.atLeast(spec, "--messages", size, 1);
+        }
+        final List<BacklogSlopeResult.Row> rows = new ArrayList<>();
+        for (final int size : messages) {
+            rows.add(measure(size));
+            progress(size, "done");
+        }
+        System.out.print(table(rows));
+        if (options.output() != null) {
+            ResultFile.write(
+                    options.output(),
+                    new BacklogSlopeResult(
+                            options.memoryMb(),
+                            destinations,
+                            clients,
+                            bodyBytes,
+                            Runtime.getRuntime().availableProcessors(),
+                            rows));
+        }
+        return CommandLine.ExitCode.OK;
+    }
+
+    private void progress(final int size, final String what) {
+        spec.commandLine().getErr().println(spec.name() + ": " + size + " messages: " + what);
+    }
+
+    private BacklogSlopeResult.Row measure(final int size)
+            throws IOException, InterruptedException, ExecutionException {
+        try (Socket closed = LoopbackPorts.refusing()) {
+            final InetSocketAddress dial = (InetSocketAddress) closed.getLocalSocketAddress();
+            final FleetPlan plan = new FleetPlan(1, destinations, ENDPOINTS_PER_DESTINATION, 1, 1, 1, options.seed());
+            try (DiscoveryServer discovery = new DiscoveryServer(new ListHistory(plan.endpoints(dial)));
+                    RealCourier courier = options.courier("real-backlog", configuration(discovery))) {
+                return measure(size, plan, discovery, courier);
+            }
+        }
+    }
+
+    private BacklogSlopeResult.Row measure(
+            final int size, final FleetPlan plan, final DiscoveryServer discovery, final RealCourier courier)
+            throws IOException, InterruptedException, ExecutionException {
+        courier.start();
+        if (courier.awaitReady(READY_TIMEOUT).isEmpty()
+                || courier.awaitDiscovered(plan.endpointCount(), READY_TIMEOUT).isEmpty()) {
+            throw new IOException("the courier did not become ready; its log: " + courier.logFile());
+        }
+        final BacklogSlopeResult.HandInCounts handIn =
+                new BacklogFiller(courier.address(), destinations, bodyBytes, size, GIVE_UP).fill(clients);
+        progress(size, "taken on " + handIn.takenOn() + ", refused " + handIn.refused());
+        Thread.sleep(SETTLE.toMillis());
+        final Optional<ProcessSample> before = sample(courier);
+        Thread.sleep(PROCESSOR_SPAN.toMillis());
+        final Optional<ProcessSample> after = sample(courier);
+        final long outstanding = outstanding(courier);
+        final boolean outOfMemory = outOfMemory(courier);
+        final boolean alive = courier.isAlive();
+        courier.kill();
+        final long journalBytes = courier.stateBytes();
+        final int notices = discovery.outcomeCount();
+        Thread.sleep(RESTART_PAUSE.toMillis());
+        courier.start();
+        final Optional<Duration> ready = courier.awaitReady(READY_TIMEOUT);
+        progress(size, "ready after the kill: " + ready.map(Duration::toString).orElse("never"));
+        return new BacklogSlopeResult.Row(
+                size,
+                handIn,
+                after.map(sample -> sample.residentBytes() / BYTES_PER_MB).orElse(null),
+                after.map(sample -> sample.peakResidentBytes() / BYTES_PER_MB).orElse(null),
+                before.isPresent() && after.isPresent() ? (Double) after.get().processorShareSince(before.get()) : null,
+                journalBytes,
+                outstanding,
+                notices,
+                outOfMemory,
+                alive,
+                ready.map(length -> length.toNanos() / NS_PER_SECOND).orElse(null),
+                outstanding(courier),
+                outOfMemory(courier),
+                courier.isAlive());
+    }
+
+    private CourierConfiguration configuration(final DiscoveryServer discovery) throws IOException {
+        return new CourierConfiguration(
+                "n0",
+                LoopbackPorts.free(),
+                LoopbackPorts.free(),
+                discovery.address(),
+                new CourierLimits(options.memoryMb(), CourierLimits.DEFAULT.sockets(), DISK_MB, MAX_OPEN),
+                1,
+                ZONE,
+                options.seed());
+    }
+
+    private static Optional<ProcessSample> sample(final RealCourier courier) throws IOException {
+        return courier.isAlive() ? Optional.of(courier.sample()) : Optional.empty();
+    }
+
+    private static long outstanding(final RealCourier courier) {
+        try {
+            return courier.management().outstanding();
+        } catch (final IOException e) {
+            // A process that has ended, or is deaf.
+            return -1;
+        }
+    }
+
+    private static boolean outOfMemory(final RealCourier courier) throws IOException {
+        return courier.logSinceStart().stream().anyMatch(line -> line.contains(OUT_OF_MEMORY));
+    }
+
+    private static String table(final List<BacklogSlopeResult.Row> rows) {
+        final TextTable table = new TextTable(
+                "messages",
+                "taken on",
+                "refused",
+                "no answer",
+                "not handed in",
+                "ms each",
+                "p99 ms",
+                "resident MB",
+                "peak MB",
+                "core %",
+                "journal MB",
+                "outstanding",
+                "notices",
+                "out of memory",
+                "killed: ready s",
+                "outstanding",
+                "out of memory");
+        for (final BacklogSlopeResult.Row row : rows) {
+            table.row(
+                    Integer.toString(row.messages()),
+                    Integer.toString(row.handIn().takenOn()),
+                    Integer.toString(row.handIn().refused()),
+                    Integer.toString(row.handIn().noAnswer()),
+                    Integer.toString(row.handIn().notHandedIn()),
+                    TextTable.number(row.handIn().millisEach(), "%.2f"),
+                    TextTable.number(row.handIn().p99Ms(), "%.1f"),
+                    TextTable.number(row.residentMb(), "%.0f"),
+                    TextTable.number(row.peakResidentMb(), "%.0f"),
+                    TextTable.number(row.processorShare() == null ? null : PERCENT * row.processorShare(), "%.1f"),
+                    TextTable.number(row.journalBytes() / BYTES_PER_MB, "%.1f"),
+                    Long.toString(row.outstanding()),
+                    Integer.toString(row.notices()),
+                    row.outOfMemory() ? "yes" : "no",
+                    TextTable.number(row.readyAfterKillSeconds(), "%.2f"),
+                    Long.toString(row.outstandingAfterKill()),
+                    row.outOfMemoryAfterKill() ? "yes" : "no");
+        }
+        return table.toString();
+    }
+}
