--- a/src/main/java/driftchute/scale/standin/DiscoveryServer.java
+++ b/src/main/java/driftchute/scale/standin/DiscoveryServer.java
@@ -13,12 +13,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /**
  * A stand-in of discovery and of the platform's notices on loopback: {@code GET /discovery/hosts}, watches on it, and
@@ -40,7 +42,10 @@
     private final Runnable onChange = this::tellAll;
     private final AtomicLong accepted = new AtomicLong();
     private final List<TrafficCounter> counters = new CopyOnWriteArrayList<>();
-    private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+    private final List<Consumer<Outcome>> outcomeListeners = new CopyOnWriteArrayList<>();
+    /** Guarded by itself. */
+    private final List<Outcome> outcomes = new ArrayList<>();
+
     private final Set<DiscoveryConnection> connections = new HashSet<>();
     private volatile DiscoveryMode mode = DiscoveryMode.NORMAL;
     private volatile LoopbackListener listener;
@@ -127,14 +132,23 @@
         return counters.stream().map(TrafficCounter::snapshot).toList();
     }
 
+    /** Calls this with each notice that comes, on the event loop. */
+    public void onOutcome(final Consumer<Outcome> listener) {
+        outcomeListeners.add(listener);
+    }
+
     /** The notices that have come, in their order. */
     public List<Outcome> outcomes() {
-        return List.copyOf(outcomes);
+        synchronized (outcomes) {
+            return List.copyOf(outcomes);
+        }
     }
 
     /** How many notices have come. */
     public int outcomeCount() {
-        return outcomes.size();
+        synchronized (outcomes) {
+            return outcomes.size();
+        }
     }
 
     @Override
@@ -167,7 +181,10 @@
     }
 
     void noticed(final List<Outcome> fresh) {
-        outcomes.addAll(fresh);
+        synchronized (outcomes) {
+            outcomes.addAll(fresh);
+        }
+        fresh.forEach(outcome -> outcomeListeners.forEach(listener -> listener.accept(outcome)));
     }
 
     /** The line as a buffer that the caller releases; on the event loop only. */
--- a/src/main/java/driftchute/scale/standin/EndpointEntry.java
+++ b/src/main/java/driftchute/scale/standin/EndpointEntry.java
@@ -43,6 +43,11 @@
         return new EndpointEntry(host, dial, site, kind, block, changed, share, bornMs);
     }
 
+    /** The same endpoint, dialled elsewhere. */
+    public EndpointEntry withDial(final String changed) {
+        return new EndpointEntry(host, changed, site, kind, block, health, share, bornMs);
+    }
+
     /** Writes the entry as the protocol's JSON object. */
     public void writeTo(final JsonGenerator json) throws IOException {
         json.writeStartObject();
--- a/src/test/java/driftchute/scale/standin/DiscoveryServerTest.java
+++ b/src/test/java/driftchute/scale/standin/DiscoveryServerTest.java
@@ -39,8 +39,8 @@
         server.close();
     }
 
-    private DiscoveryClient watch(final long after) throws IOException {
-        final DiscoveryClient client = new DiscoveryClient(server.address());
+    private RawHttpClient watch(final long after) throws IOException {
+        final RawHttpClient client = new RawHttpClient(server.address());
         client.request(WATCH + after, "");
         assertEquals(200, client.status());
         return client;
@@ -62,7 +62,7 @@
 
     /** Returns once the server has done all that it was told to do before: a notice is answered behind that. */
     private void awaitEventLoop() throws IOException {
-        try (DiscoveryClient notices = new DiscoveryClient(server.address())) {
+        try (RawHttpClient notices = new RawHttpClient(server.address())) {
             notices.request("POST /v1/outcomes", "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
             assertEquals(204, notices.status());
         }
@@ -70,7 +70,7 @@
 
     @Test
     void theWholeListIsAnsweredOnRequest() throws IOException {
-        try (DiscoveryClient client = new DiscoveryClient(server.address())) {
+        try (RawHttpClient client = new RawHttpClient(server.address())) {
             final JsonNode list = json(client.body(client.request("GET /discovery/hosts", "")));
             assertEquals(1, list.path("seq").asLong());
             assertEquals(ENDPOINTS, list.path("hosts").size());
@@ -81,7 +81,7 @@
 
     @Test
     void aWatchGetsTheWholeListOnceAndThenChangesOnly() throws IOException {
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             assertEquals(ENDPOINTS, json(client.line()).path("hosts").size());
             for (int count = 0; count < 3; count++) {
                 final long version = changeOne();
@@ -101,13 +101,13 @@
     void aWatchAfterAVersionGetsWhatChangedSinceInOneLine() throws IOException {
         changeOne();
         changeOne();
-        try (DiscoveryClient client = watch(1)) {
+        try (RawHttpClient client = watch(1)) {
             final JsonNode change = json(client.line());
             assertEquals(3, change.path("seq").asLong());
             assertEquals(1, change.path("hosts").size());
             assertEquals(0, server.traffic().get(0).wholeLists());
         }
-        try (DiscoveryClient client = watch(3)) {
+        try (RawHttpClient client = watch(3)) {
             assertEquals("", client.line(), "nothing has changed");
         }
     }
@@ -116,7 +116,7 @@
     void aWatchWithoutNewsGetsEmptyLines() throws IOException {
         server.close();
         server = new DiscoveryServer(history, Duration.ofMillis(5));
-        try (DiscoveryClient client = watch(1)) {
+        try (RawHttpClient client = watch(1)) {
             for (int count = 0; count < 4; count++) {
                 assertEquals("", client.line());
             }
@@ -125,8 +125,8 @@
 
     @Test
     void whileUnavailableNothingIsSaidOfTheListAndNoticesAreAnswered() throws IOException {
-        try (DiscoveryClient standing = watch(1);
-                DiscoveryClient fresh = new DiscoveryClient(server.address())) {
+        try (RawHttpClient standing = watch(1);
+                RawHttpClient fresh = new RawHttpClient(server.address())) {
             assertEquals("", standing.line());
             server.mode(DiscoveryMode.UNAVAILABLE);
             final long saidBefore = standing.bytesRead();
@@ -146,7 +146,7 @@
     @Test
     void anOutageEndsByItself() throws IOException {
         server.outage(Duration.ofMillis(20));
-        try (DiscoveryClient client = watch(1)) {
+        try (RawHttpClient client = watch(1)) {
             assertEquals("", client.line());
             assertEquals(DiscoveryMode.NORMAL, server.mode());
         }
@@ -155,7 +155,7 @@
     @Test
     void watchesMayFallSilentBehindTheirHead() throws IOException {
         server.mode(DiscoveryMode.SILENT_WATCHES);
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             changeOne();
             awaitEventLoop();
             assertEquals(0, server.traffic().get(0).wholeLists());
@@ -168,7 +168,7 @@
     @Test
     void aFirstLineMayBreakOff() throws IOException {
         server.mode(DiscoveryMode.FIRST_LINE_BREAKS_OFF);
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             assertNull(client.line());
             final int whole = history.lineAfter(0).length;
             assertTrue(client.bytesRead() > whole / 2 && client.bytesRead() < whole, "half of it has come");
@@ -179,13 +179,13 @@
     void aFirstLineMayNeverEnd() throws IOException {
         server.mode(DiscoveryMode.FIRST_LINE_NEVER_ENDS);
         final int tenTimesTheList = 10 * history.lineAfter(0).length;
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             while (client.bytesRead() < tenTimesTheList) {
                 assertNotEquals('\n', client.next());
             }
         }
         await(() -> !server.traffic().get(0).open());
-        try (DiscoveryClient client = new DiscoveryClient(server.address())) {
+        try (RawHttpClient client = new RawHttpClient(server.address())) {
             client.request("GET /discovery/hosts", "");
             assertEquals(200, client.status(), "the server goes on once the reader has left");
         }
@@ -194,7 +194,7 @@
     @Test
     void aFirstLineMayRepeatAnEntry() throws IOException {
         server.mode(DiscoveryMode.FIRST_LINE_REPEATS_AN_ENTRY);
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             final List<String> hosts = json(client.line()).path("hosts").findValuesAsText("host");
             assertEquals(ENDPOINTS + 1, hosts.size());
             assertEquals(ENDPOINTS, new HashSet<>(hosts).size());
@@ -206,7 +206,7 @@
         changeOne();
         changeOne();
         server.mode(DiscoveryMode.FIRST_LINE_OLDER_VERSION);
-        try (DiscoveryClient client = watch(3)) {
+        try (RawHttpClient client = watch(3)) {
             final JsonNode list = json(client.line());
             assertTrue(list.path("whole").asBoolean());
             assertEquals(2, list.path("seq").asLong());
@@ -216,7 +216,7 @@
     @Test
     void aFirstLineMayBeIndented() throws IOException {
         server.mode(DiscoveryMode.FIRST_LINE_INDENTED);
-        try (DiscoveryClient client = watch(0)) {
+        try (RawHttpClient client = watch(0)) {
             final StringBuilder text = new StringBuilder();
             int lines = 0;
             for (String line = ""; !line.equals("}"); lines++) {
@@ -231,15 +231,15 @@
     @Test
     void afterAMoveTheOldAddressRefusesAndItsConnectionsEnd() throws IOException {
         final InetSocketAddress old = server.address();
-        try (DiscoveryClient client = watch(1)) {
+        try (RawHttpClient client = watch(1)) {
             assertEquals("", client.line());
             final InetSocketAddress moved = server.move();
             assertNotEquals(old, moved);
-            assertThrows(ConnectException.class, () -> new DiscoveryClient(old).close());
+            assertThrows(ConnectException.class, () -> new RawHttpClient(old).close());
             changeOne();
             assertEquals(2, json(client.line()).path("seq").asLong(), "open connections are served for a while");
             assertNull(client.line(), "and end then");
-            try (DiscoveryClient fresh = watch(1)) {
+            try (RawHttpClient fresh = watch(1)) {
                 assertEquals(2, json(fresh.line()).path("seq").asLong());
             }
         }
@@ -247,7 +247,7 @@
 
     @Test
     void noticesAreReadAndWhatCannotBeReadIsRefusedWhole() throws IOException {
-        try (DiscoveryClient client = new DiscoveryClient(server.address())) {
+        try (RawHttpClient client = new RawHttpClient(server.address())) {
             client.request(
                     "POST /v1/outcomes",
                     "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n"
--- a/src/test/java/driftchute/scale/standin/DiscoveryClient.java
+++ b/src/test/java/driftchute/scale/standin/RawHttpClient.java
@@ -7,9 +7,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** A plain HTTP client for tests: it reads a chunked answer line by line and counts all bytes it reads. */
-final class DiscoveryClient implements AutoCloseable {
+final class RawHttpClient implements AutoCloseable {
     private static final int PATIENCE_MS = 20_000;
     private static final int HEX = 16;
 
@@ -20,21 +21,24 @@
     private byte[] chunk = {};
     private int position;
     private String statusLine;
+    private String retryAfter;
 
-    DiscoveryClient(final InetSocketAddress address) throws IOException {
+    RawHttpClient(final InetSocketAddress address) throws IOException {
         socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(PATIENCE_MS);
         in = new BufferedInputStream(socket.getInputStream());
     }
 
     /** Sends a request and reads the head of its answer; the result is the value of Content-Length, or -1. */
-    int request(final String head, final String body) throws IOException {
-        send(head, body);
+    int request(final String head, final String body, final String... headers) throws IOException {
+        send(head, body, headers);
         return readHead();
     }
 
-    void send(final String head, final String body) throws IOException {
-        final byte[] bytes = (head + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+    void send(final String head, final String body, final String... headers) throws IOException {
+        final String more = headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n";
+        final byte[] bytes = (head + " HTTP/1.1\r\nHost: x\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n"
+                        + body)
                 .getBytes(StandardCharsets.UTF_8);
         socket.getOutputStream().write(bytes);
         bytesWritten += bytes.length;
@@ -43,9 +47,14 @@
     int readHead() throws IOException {
         statusLine = headLine();
         int length = -1;
+        retryAfter = null;
         for (String line = headLine(); !line.isEmpty(); line = headLine()) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
-                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+            final String name = line.substring(0, line.indexOf(':')).toLowerCase(Locale.ROOT);
+            final String value = line.substring(line.indexOf(':') + 1).trim();
+            if (name.equals("content-length")) {
+                length = Integer.parseInt(value);
+            } else if (name.equals("retry-after")) {
+                retryAfter = value;
             }
         }
         return length;
@@ -55,6 +64,11 @@
         return Integer.parseInt(statusLine.split(" ")[1]);
     }
 
+    /** The time to wait that the last answer told, or null. */
+    String retryAfter() {
+        return retryAfter;
+    }
+
     String body(final int length) throws IOException {
         bytesRead += length;
         return new String(in.readNBytes(length), StandardCharsets.UTF_8);
