Add a load of clients that follows each message to its end

A real courier between all stand-ins delivers 400 messages of three classes without a fault in the test.

--- a/src/test/java/driftchute/scale/real/RealCourierTest.java
+++ b/src/test/java/driftchute/scale/real/RealCourierTest.java
@@ -4,22 +4,32 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import driftchute.scale.standin.ClientLoad;
+import driftchute.scale.standin.ClientLoadSettings;
+import driftchute.scale.standin.DestinationServer;
+import driftchute.scale.standin.DestinationSettings;
 import driftchute.scale.standin.DiscoveryServer;
 import driftchute.scale.standin.EndpointEntry;
 import driftchute.scale.standin.FleetPlan;
+import driftchute.scale.standin.LedgerReport;
 import driftchute.scale.standin.ListHistory;
 import driftchute.scale.standin.LoopbackPorts;
+import driftchute.scale.standin.MessageLedger;
+import driftchute.scale.standin.MessageShape;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** A real courier before the stand-in of discovery: it starts, follows the list, is killed and starts again. */
+/** A real courier before the stand-ins: it starts, follows the list, delivers, is killed and starts again. */
 @Timeout(120)
 final class RealCourierTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
@@ -58,6 +68,49 @@
         }
     }
 
+    @Test
+    void messagesOfClientsReachTheirDestinationsByTheRules() throws Exception {
+        final int messages = 400;
+        final int destinations = 20;
+        final FleetPlan plan = new FleetPlan(1, destinations, 2, 0, 1, 1, 1);
+        final MessageLedger ledger = new MessageLedger();
+        try (DestinationServer server = new DestinationServer(2, number -> DestinationSettings.DEFAULT, 1)) {
+            server.onAccepted(id -> ledger.accepted(id, System.nanoTime()));
+            final List<EndpointEntry> list = new ArrayList<>();
+            for (final EndpointEntry entry : plan.endpoints(server.addresses().get(0))) {
+                list.add(server.place(entry, list.size() % 2));
+            }
+            try (DiscoveryServer discovery = new DiscoveryServer(new ListHistory(list));
+                    RealCourier courier = courier(discovery)) {
+                discovery.onOutcome(outcome -> ledger.noticed(outcome, System.nanoTime()));
+                courier.start();
+                assertTrue(courier.awaitReady(PATIENCE).isPresent(), () -> log(courier));
+                assertTrue(courier.awaitDiscovered(list.size(), PATIENCE).isPresent(), () -> log(courier));
+                final ClientLoadSettings load = new ClientLoadSettings(
+                        4,
+                        200,
+                        messages,
+                        destinations,
+                        1,
+                        List.of(
+                                new MessageShape(CourierConfiguration.SAFE_CLASS, 1, false, true, 60_000, 212),
+                                new MessageShape(CourierConfiguration.ONCE_CLASS, 1, false, false, 60_000, 212),
+                                new MessageShape(CourierConfiguration.ORDERED_CLASS, 1, true, false, 60_000, 212)),
+                        1);
+                new ClientLoad(load, List.of(courier.address()), ledger, server::register).run();
+                while (ledger.report(System.nanoTime()).open() > 0) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
+                }
+                final LedgerReport report = ledger.report(System.nanoTime());
+                assertEquals(messages, report.handedIn());
+                assertEquals(report.takenOn(), report.delivered() + report.undeliverable() + report.deferred());
+                assertTrue(report.delivered() > 0, report.toString());
+                assertEquals(0, report.lost(), report.toString());
+                assertEquals(0, server.faults().total(), server.faults().toString());
+            }
+        }
+    }
+
     private RealCourier courier(final DiscoveryServer discovery) throws IOException {
         return new RealCourier(
                 command(),
