--- a/src/main/java/driftchute/DestinationTable.java
+++ b/src/main/java/driftchute/DestinationTable.java
@@ -87,13 +87,18 @@
     }
 
     /**
-     * The state of a listed endpoint, which begins here if its destination has none; null for one that is not listed.
+     * The state of an endpoint, which begins here if it has none; null for one that the directory does not know. It may
+     * know one that its list of the destination no longer names, as long as a call to it is out.
      */
     Node node(final long endpoint) {
         final Node known = nodes.get(endpoint);
         final Courier.Endpoint entry = known == null ? directory.endpoint(endpoint) : known.entry;
-        if (entry != null) {
-            active(entry.destination());
+        if (entry == null) {
+            return null;
+        }
+        final Destination destination = active(entry.destination());
+        if (!nodes.containsKey(endpoint)) {
+            apply(destination, entry);
         }
         return nodes.get(endpoint);
     }
