Let the decisions look endpoints up in the packed list; tell them changes only

Discovery is the decisions' Directory now: a whole list makes no object for each endpoint, and a change is told as what is not as before. A process that leaves tells how the destinations stand that have state. What is learned of destinations at rest is kept within an eighth of the heap, 1,024 at least.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -32,7 +32,7 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost, and they say when to ask again;
  * where the settings say that the list is pushed they never ask, and the watch is kept from here.
  */
-final class Discovery {
+final class Discovery implements Courier.Directory {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
     /**
@@ -48,9 +48,9 @@
     private static final double STAGING_SHARE = 0.25;
 
     /**
-     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8), what
-     * a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are small
-     * and share the last hundredth.
+     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8),
+     * what a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are
+     * small and share the last hundredth.
      */
     private static final double DISK_SHARE = 0.04;
 
@@ -64,6 +64,9 @@
             (long) (STAGING_SHARE * Runtime.getRuntime().maxMemory());
     private final ListStore store;
     private EndpointTable table = new EndpointTable();
+    /** Endpoints that no list names any more, but an earlier process has calls out to. */
+    private final Map<Long, Courier.Endpoint> unlisted = new HashMap<>();
+
     private boolean writingStore;
     private InetSocketAddress address;
     private Watch watch;
@@ -108,13 +111,18 @@
         return entries;
     }
 
-    /** The endpoints that the list names for a destination, those that drain among them. */
-    List<Courier.Endpoint> endpointsOf(final long destination) {
+    @Override
+    public List<Courier.Endpoint> endpointsOf(final long destination) {
         final List<Courier.Endpoint> entries = new ArrayList<>();
         table.forEachOf(destination, endpoint -> entries.add(endpoint(endpoint, table.conditionOf(endpoint))));
         return entries;
     }
 
+    @Override
+    public Courier.Endpoint endpoint(final long id) {
+        return table.isListed(id) ? endpoint(id, table.conditionOf(id)) : unlisted.get(id);
+    }
+
     /** Where and how an endpoint is called; null for one that the list does not name. */
     Endpoints.Target target(final long endpoint) {
         if (!table.isListed(endpoint)) {
@@ -137,9 +145,7 @@
             return known;
         }
         final long id = table.reserve(name);
-        final List<Courier.Endpoint> entries =
-                List.of(new Courier.Endpoint(id, Courier.Condition.DRAINING, zone, 0, -1, destination));
-        host.list(Courier.Update.CHANGES, entries, entries);
+        unlisted.put(id, new Courier.Endpoint(id, Courier.Condition.DRAINING, zone, 0, -1, destination));
         return id;
     }
 
@@ -185,8 +191,7 @@
             read(known);
         } else {
             table = stored;
-            final List<Courier.Endpoint> entries = entries();
-            host.list(Courier.Update.RESTORED, entries, entries);
+            host.list(Courier.Update.RESTORED, List.of());
         }
     }
 
@@ -253,9 +258,9 @@
     }
 
     /**
-     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came while
-     * no process ran, and the copy from the configuration does not have it. With a list in force a silent agent is not
-     * waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
+     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came
+     * while no process ran, and the copy from the configuration does not have it. With a list in force a silent agent
+     * is not waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
      */
     void whenHeard(final Runnable begin) {
         start = begin;
@@ -365,7 +370,7 @@
             retry.lives();
         }
         if (first) {
-            host.list(Courier.Update.CHANGES, List.of(), List.of());
+            host.list(Courier.Update.CHANGES, List.of());
         }
         heard();
     }
@@ -388,7 +393,7 @@
                     TimeUnit.MILLISECONDS);
         }
         if (!pushed) {
-            host.list(Courier.Update.LOST, List.of(), List.of());
+            host.list(Courier.Update.LOST, List.of());
         }
         if (firstWordLate || ended.isSpoilt()) {
             startIfListed();
@@ -406,14 +411,14 @@
         final Difference difference = new Difference(update);
         TableUpdate.apply(table, list, difference);
         if (update != Courier.Update.RESTORED) {
-            Log.info("the list at " + list.version() + ": " + update + ", " + difference.told.size() + " entries, "
+            Log.info("the list at " + list.version() + ": " + update + ", " + difference.named + " entries, "
                     + difference.gone.size() + " gone");
         }
         if (update != Courier.Update.RESTORED) {
             store.commit(table);
             writeStore();
         }
-        host.list(update, difference.told, difference.changed);
+        host.list(update, difference.changed);
         difference.gone.forEach(host.endpoints()::removed);
     }
 
@@ -445,12 +450,11 @@
     /** What an update changes, as the host and the decisions are told. */
     private final class Difference implements TableUpdate.Listener {
         private final Courier.Update update;
-        /** All that the update names. */
-        private final List<Courier.Endpoint> told = new ArrayList<>();
-        /** Those of them that are not as before, and those that went. */
+        /** What is not as before, and what went; of a whole list none, as the decisions look up what they need. */
         private final List<Courier.Endpoint> changed = new ArrayList<>();
 
         private final List<Long> gone = new ArrayList<>();
+        private int named;
 
         Difference(final Courier.Update update) {
             this.update = update;
@@ -458,18 +462,21 @@
 
         @Override
         public void named(final long endpoint, final TableUpdate.Change change) {
-            if (change == TableUpdate.Change.GONE) {
+            named++;
+            if (change == TableUpdate.Change.SAME || change == TableUpdate.Change.GONE) {
                 return;
             }
             final Courier.Endpoint entry = endpoint(endpoint, table.conditionOf(endpoint));
-            told.add(entry);
-            if (change == TableUpdate.Change.ADDED || change == TableUpdate.Change.CHANGED) {
+            unlisted.remove(endpoint);
+            change(entry);
+            host.endpoints().listed(entry, table.addressOf(endpoint));
+            keep(endpoint);
+        }
+
+        private void change(final Courier.Endpoint entry) {
+            if (update == Courier.Update.CHANGES) {
                 changed.add(entry);
             }
-            if (change != TableUpdate.Change.SAME) {
-                host.endpoints().listed(entry, table.addressOf(endpoint));
-                keep(endpoint);
-            }
         }
 
         /** The configuration's own list comes with every start: only what is newer is kept. */
@@ -481,16 +488,20 @@
 
         @Override
         public void removed(final long endpoint) {
-            final Courier.Endpoint entry = table.isListed(endpoint)
-                    ? endpoint(endpoint, Courier.Condition.GONE)
-                    : new Courier.Endpoint(endpoint, Courier.Condition.GONE, "", 0, -1, 0);
+            gone.add(endpoint);
+            final Courier.Endpoint before = endpoint(endpoint);
+            unlisted.remove(endpoint);
             if (table.isListed(endpoint) && update != Courier.Update.RESTORED) {
                 store.remove(table, endpoint);
             }
-            gone.add(endpoint);
-            changed.add(entry);
-            if (update == Courier.Update.CHANGES) {
-                told.add(entry);
+            if (before != null) {
+                change(new Courier.Endpoint(
+                        endpoint,
+                        Courier.Condition.GONE,
+                        before.zone(),
+                        before.weight(),
+                        before.kind(),
+                        before.destination()));
             }
         }
 
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -138,9 +138,11 @@
         this.loop = loop;
         this.clock = clock;
         this.folder = new Marks(config.state(), config.settings().guarantees().coldUs());
-        this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
         this.discovery = new Discovery(config, loop, this);
+        final int mostResting =
+                MemoryBudget.destinationsAtRest(Runtime.getRuntime().maxMemory());
+        this.control = new Control(config.settings(), config.seed(), this, discovery, mostResting);
         this.notices = new Notices(config.discovery(), loop, this);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
@@ -377,7 +379,10 @@
         notices.drop();
         discovery.keepNoMore();
         for (final Courier.Endpoint entry : discovery.entries()) {
-            file.standing(discovery.nameOf(entry.id()), control.standing(clock.nowUs(), entry.id()));
+            final Courier.Standing standing = control.standing(clock.nowUs(), entry.id());
+            if (!standing.figures().isEmpty()) {
+                file.standing(discovery.nameOf(entry.id()), standing);
+            }
         }
         for (final Open open : messages.values()) {
             if (open.held.isOut()) {
@@ -497,12 +502,9 @@
         }
     }
 
-    /**
-     * The list has changed, or could not be had. {@code entries}: all that the update names; {@code changed}: those of
-     * them that are not as before, and as gone those that went.
-     */
-    void list(final Courier.Update update, final List<Courier.Endpoint> entries, final List<Courier.Endpoint> changed) {
-        control.onList(clock.nowUs(), update, entries);
+    /** The list has changed, or could not be had; the {@link Discovery} says so already. */
+    void list(final Courier.Update update, final List<Courier.Endpoint> changed) {
+        control.onList(clock.nowUs(), update, changed);
         marks.keySet().forEach(this::mark);
         touch();
     }
--- a/src/main/java/driftchute/node/MemoryBudget.java
+++ b/src/main/java/driftchute/node/MemoryBudget.java
@@ -18,6 +18,15 @@
      * keep on it. By a histogram of 30,000 of them it is 505 bytes; a tenth is added.
      */
     private static final long MESSAGE_BYTES = 560;
+    /**
+     * Share of the heap for what is learned of destinations at rest, within the reserve; heap that one of them takes
+     * with two endpoints, a little over the 966 bytes that the slope of the listed ones showed; and how many are
+     * always kept.
+     */
+    private static final double DESTINATION_SHARE = 0.125;
+
+    private static final long DESTINATION_BYTES = 1024;
+    private static final int LEAST_DESTINATIONS = 1024;
     /** Heap that a text which a message may have or not takes beside its letters. */
     private static final long TEXT_BYTES = 56;
 
@@ -38,6 +47,12 @@
         return new MemoryBudget(heapBytes, (long) (MESSAGE_SHARE * leftBytes));
     }
 
+    /** Destinations at rest of which the decisions may remember what they learned, under a heap of that size. */
+    static int destinationsAtRest(final long heapBytes) {
+        final long most = (long) (DESTINATION_SHARE * heapBytes / DESTINATION_BYTES);
+        return (int) Math.min(Integer.MAX_VALUE, Math.max(LEAST_DESTINATIONS, most));
+    }
+
     /** A budget of so many bytes, whatever the heap. */
     static MemoryBudget of(final long bytes) {
         return new MemoryBudget(Long.MAX_VALUE, bytes);
@@ -69,8 +84,9 @@
     }
 
     /**
-     * A full collection has left so many bytes alive. What of it is not charged to messages is not theirs: where that is
-     * more than the reserve, as with a long list, it shortens the budget, until a later collection finds it smaller.
+     * A full collection has left so many bytes alive. What of it is not charged to messages is not theirs: where that
+     * is more than the reserve, as with a long list, it shortens the budget, until a later collection finds it
+     * smaller.
      */
     void collected(final long liveBytes) {
         final double leftBytes = (double) heapBytes - Math.max(0, liveBytes - usedBytes);
