--- a/src/main/java/driftchute/list/ListParser.java
+++ b/src/main/java/driftchute/list/ListParser.java
@@ -13,7 +13,7 @@
 /**
  * Reads lists from bytes as they come, one JSON object after another, each over one line or several. It holds no line:
  * what an object has told so far is staged, and given away once the object is whole. An empty line between objects says
- * that the sender lives. After a fault it takes nothing more.
+ * that the sender lives. After a fault it must not be fed again.
  */
 public final class ListParser {
     /**
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -32,7 +32,7 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost, and they say when to ask again;
  * where the settings say that the list is pushed they never ask, and the watch is kept from here.
  */
-final class Discovery {
+final class Discovery implements Watch.Owner {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
     /**
@@ -91,8 +91,8 @@
 
     // ---------------------------------------------------------------- what the host asks
 
-    /** The version of the list in force. */
-    long version() {
+    @Override
+    public long version() {
         return table.version();
     }
 
@@ -345,20 +345,21 @@
         });
     }
 
-    /** True for the watch that counts; one before it may still bring bytes. */
-    boolean isCurrent(final Watch one) {
+    @Override
+    public boolean isCurrent(final Watch one) {
         return watch == one;
     }
 
-    /** The watch has brought a list. */
-    void take(final StagedList list) throws ListFormatException {
+    @Override
+    public void take(final StagedList list) throws ListFormatException {
         apply(list, list.isWhole() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
         retry.settled();
         heard();
     }
 
     /** The decisions hear once that they are up to date; after that, nothing said is nothing new. */
-    void unchanged(final boolean first, final boolean settled) {
+    @Override
+    public void unchanged(final boolean first, final boolean settled) {
         if (settled) {
             retry.settled();
         } else {
@@ -370,8 +371,8 @@
         heard();
     }
 
-    /** The watch has ended. */
-    void lost(final Watch ended) {
+    @Override
+    public void lost(final Watch ended) {
         if (watch != ended) {
             return;
         }
@@ -406,7 +407,7 @@
         final Difference difference = new Difference(update);
         TableUpdate.apply(table, list, difference);
         if (update != Courier.Update.RESTORED) {
-            Log.info("the list at " + list.version() + ": " + update + ", " + difference.told.size() + " entries, "
+            Log.info("the list at " + version() + ": " + update + ", " + difference.told.size() + " entries, "
                     + difference.gone.size() + " gone");
         }
         if (update != Courier.Update.RESTORED) {
@@ -467,7 +468,7 @@
                 changed.add(entry);
             }
             if (change != TableUpdate.Change.SAME) {
-                host.endpoints().listed(entry, table.addressOf(endpoint));
+                host.endpoints().changed(entry);
                 keep(endpoint);
             }
         }
@@ -500,13 +501,14 @@
         }
     }
 
-    /** An entry cannot be used: that costs the others nothing. */
-    void unusable(final String problem) {
+    @Override
+    public void unusable(final String problem) {
         fault("an entry of the list cannot be used: " + problem);
     }
 
     /** Says what is wrong with the list, once: it may say so all day. */
-    void fault(final String what) {
+    @Override
+    public void fault(final String what) {
         if (faults.size() < MOST_FAULTS && faults.add(what)) {
             Log.info(what);
         }
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -189,11 +189,12 @@
     }
 
     /** The list's word on an endpoint has changed, or its address: that matters to one that has been called. */
-    void listed(final Courier.Endpoint entry, final InetSocketAddress address) {
+    void changed(final Courier.Endpoint entry) {
         final Pool pool = pools.get(entry.id());
         if (pool == null) {
             return;
         }
+        final InetSocketAddress address = host.target(entry.id()).address();
         if (!pool.address.equals(address)) {
             pool.address = address;
             closeIdle(entry.id());
--- a/src/main/java/driftchute/node/Watch.java
+++ b/src/main/java/driftchute/node/Watch.java
@@ -39,7 +39,31 @@
     private static final int CHUNK_BYTES = 1 << 13;
     private static final int OK = 200;
 
-    private final Discovery discovery;
+    /** Who hears what a watch brings; one at a time is its current one. */
+    interface Owner {
+        /** The version of the list in force, from which on changes are asked for. */
+        long version();
+
+        /** True for the watch that counts; one before it may still bring bytes. */
+        boolean isCurrent(Watch watch);
+
+        /** A list has come. */
+        void take(StagedList list) throws ListFormatException;
+
+        /** Nothing has changed. {@code first}: it is the watch's first word. {@code settled}: no list is on its way. */
+        void unchanged(boolean first, boolean settled);
+
+        /** An entry of a list cannot be used. */
+        void unusable(String problem);
+
+        /** The list cannot be used. */
+        void fault(String what);
+
+        /** The watch has ended. */
+        void lost(Watch watch);
+    }
+
+    private final Owner owner;
     private final String host;
     private final ListParser parser;
     private final byte[] chunk = new byte[CHUNK_BYTES];
@@ -56,8 +80,8 @@
 
     private boolean spoilt;
 
-    Watch(final Discovery discovery, final String host, final long listBytes) {
-        this.discovery = discovery;
+    Watch(final Owner owner, final String host, final long listBytes) {
+        this.owner = owner;
         this.host = host;
         this.parser = new ListParser(listBytes, new Lists());
     }
@@ -92,7 +116,7 @@
     @Override
     public void channelActive(final ChannelHandlerContext ctx) {
         final var request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.GET, "/discovery/hosts?watch=1&after=" + discovery.version());
+                HttpVersion.HTTP_1_1, HttpMethod.GET, "/discovery/hosts?watch=1&after=" + owner.version());
         request.headers().set(HttpHeaderNames.HOST, host);
         ctx.writeAndFlush(request);
         listen(FIRST_WORD_MS);
@@ -118,7 +142,7 @@
             // The agent speaks: its first line, which may be the whole list, has as long as any other.
             listen(SILENT_MS);
         }
-        if (part instanceof HttpContent content && discovery.isCurrent(this)) {
+        if (part instanceof HttpContent content && owner.isCurrent(this) && !spoilt) {
             read(content.content());
         }
         if (part instanceof LastHttpContent) {
@@ -128,7 +152,7 @@
 
     private void read(final ByteBuf content) {
         try {
-            while (content.isReadable() && discovery.isCurrent(this)) {
+            while (content.isReadable() && owner.isCurrent(this)) {
                 final int length = Math.min(chunk.length, content.readableBytes());
                 content.readBytes(chunk, 0, length);
                 unused += length;
@@ -145,7 +169,7 @@
 
     private void spoil(final IOException fault) {
         spoilt = true;
-        discovery.fault("the list cannot be read: " + fault.getMessage());
+        owner.fault("the list cannot be read: " + fault.getMessage());
         context.close();
     }
 
@@ -154,7 +178,7 @@
         @Override
         public void list(final StagedList list) throws ListFormatException {
             listen(SILENT_MS);
-            discovery.take(list);
+            owner.take(list);
             answered = true;
             unused = 0;
         }
@@ -165,13 +189,13 @@
             unused = 0;
             heartbeats++;
             // The first may come ahead of a list that is spoilt; a second one says that there is no such list.
-            discovery.unchanged(!answered, heartbeats > 1);
+            owner.unchanged(!answered, heartbeats > 1);
             answered = true;
         }
 
         @Override
         public void unusable(final String problem) {
-            discovery.unusable(problem);
+            owner.unusable(problem);
         }
     }
 
@@ -185,11 +209,11 @@
         if (silence != null) {
             silence.cancel(false);
         }
-        if (discovery.isCurrent(this) && isReceiving()) {
+        if (owner.isCurrent(this) && isReceiving()) {
             spoilt = true;
-            discovery.fault("the list cannot be read: it breaks off");
+            owner.fault("the list cannot be read: it breaks off");
         }
-        discovery.lost(this);
+        owner.lost(this);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/driftchute/node/WatchTest.java
@@ -0,0 +1,174 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import driftchute.list.StagedList;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When a watch is given up, on a clock that the test moves. */
+final class WatchTest {
+    private static final long BUDGET = 1 << 22;
+    private static final String ENTRY = "{\"host\":\"%s\",\"dial\":\"127.0.0.1:1\",\"block\":7,\"health\":\"Ready\"}";
+
+    /** What the watch told. */
+    private static final class Heard implements Watch.Owner {
+        private final List<String> events = new ArrayList<>();
+
+        @Override
+        public long version() {
+            return 41;
+        }
+
+        @Override
+        public boolean isCurrent(final Watch watch) {
+            return true;
+        }
+
+        @Override
+        public void take(final StagedList list) {
+            events.add("list " + list.version() + " of " + list.size());
+        }
+
+        @Override
+        public void unchanged(final boolean first, final boolean settled) {
+            events.add("unchanged " + first + " " + settled);
+        }
+
+        @Override
+        public void unusable(final String problem) {
+            events.add(problem);
+        }
+
+        @Override
+        public void fault(final String what) {
+            events.add(what);
+        }
+
+        @Override
+        public void lost(final Watch watch) {
+            events.add("lost after " + watch.unusedBytes() + (watch.isSpoilt() ? " spoilt" : ""));
+        }
+    }
+
+    private final Heard heard = new Heard();
+    private final MockTicker clock = Ticker.newMockTicker();
+    private EmbeddedChannel channel;
+
+    @BeforeEach
+    void open() {
+        channel = EmbeddedChannel.builder()
+                .ticker(clock)
+                .handlers(new Watch(heard, "127.0.0.1", BUDGET))
+                .build();
+        final HttpRequest request = channel.readOutbound();
+        assertEquals("/discovery/hosts?watch=1&after=41", request.uri());
+    }
+
+    private void pass(final long ms) {
+        clock.advance(ms, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    private void answer() {
+        channel.writeInbound(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+    }
+
+    private void bring(final String text) {
+        channel.writeInbound(content(text));
+    }
+
+    private static DefaultHttpContent content(final String text) {
+        return new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aCallThatIsNotAnsweredIsGivenUpAfterTheFirstWordIsDue() {
+        pass(Watch.FIRST_WORD_MS - 1);
+        assertTrue(channel.isOpen());
+        pass(1);
+        assertEquals(List.of("lost after 0"), heard.events);
+    }
+
+    @Test
+    void emptyLinesKeepItAlive() {
+        answer();
+        for (int count = 0; count < 5; count++) {
+            pass(Watch.SILENT_MS - 1);
+            bring("\n");
+        }
+        assertEquals("unchanged true false", heard.events.get(0));
+        assertEquals("unchanged false true", heard.events.get(1));
+        pass(Watch.SILENT_MS);
+        assertEquals("lost after 0", heard.events.get(5));
+    }
+
+    @Test
+    void aLargeListMayTakeLongWhileItComesAtASensibleRate() {
+        answer();
+        bring("{\"seq\":42,\"whole\":true,\"hosts\":[" + ENTRY.formatted("first"));
+        for (int piece = 0; piece < 20; piece++) {
+            pass(Watch.SILENT_MS - 1);
+            final StringBuilder entries = new StringBuilder();
+            while (entries.length() <= 1 << 16) {
+                entries.append(',').append(ENTRY.formatted(piece + "-" + entries.length()));
+            }
+            bring(entries.toString());
+        }
+        bring("]}\n");
+        assertEquals(1, heard.events.size());
+        assertTrue(heard.events.get(0).startsWith("list 42 of "), heard.events.toString());
+        assertTrue(channel.isOpen());
+    }
+
+    @Test
+    void aListThatTricklesIsGivenUpAsIfItWereSilent() {
+        answer();
+        bring("{\"seq\":42,\"hosts\":[" + ENTRY.formatted("first"));
+        for (int count = 0; count < Watch.SILENT_MS / 100 - 1; count++) {
+            pass(100);
+            bring("," + ENTRY.formatted("e" + count) + "\n");
+        }
+        assertTrue(channel.isOpen());
+        pass(100);
+        assertFalse(channel.isOpen());
+        assertEquals("the list cannot be read: it breaks off", heard.events.get(0));
+        assertTrue(heard.events.get(1).endsWith(" spoilt"), heard.events.toString());
+    }
+
+    @Test
+    void whatComesBehindAFaultIsNotRead() {
+        answer();
+        // Read from the socket together, as two chunks of one answer.
+        channel.writeInbound(content("{\"seq\":42,,"), content("}\n{\"seq\":43,\"hosts\":[]}\n"));
+        assertEquals(2, heard.events.size(), heard.events.toString());
+        assertTrue(heard.events.get(0).startsWith("the list cannot be read"));
+        assertTrue(heard.events.get(1).endsWith("spoilt"));
+    }
+
+    @Test
+    void aListThatNeverEndsIsGivenUpAtItsBound() {
+        answer();
+        bring("{\"seq\":42,\"hosts\":[" + ENTRY.formatted("first"));
+        for (int piece = 0; piece < 1000 && channel.isOpen(); piece++) {
+            bring((",\"" + "x".repeat(60_000) + "\""));
+        }
+        assertFalse(channel.isOpen());
+        assertTrue(heard.events.stream().anyMatch(event -> event.contains("more than")), heard.events.get(1));
+    }
+}
