--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -32,7 +32,7 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost, and they say when to ask again;
  * where the settings say that the list is pushed they never ask, and the watch is kept from here.
  */
-final class Discovery implements Courier.Directory {
+final class Discovery implements Courier.Directory, Watch.Owner {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
     /**
@@ -94,8 +94,8 @@
 
     // ---------------------------------------------------------------- what the host asks
 
-    /** The version of the list in force. */
-    long version() {
+    @Override
+    public long version() {
         return table.version();
     }
 
@@ -350,20 +350,21 @@
         });
     }
 
-    /** True for the watch that counts; one before it may still bring bytes. */
-    boolean isCurrent(final Watch one) {
+    @Override
+    public boolean isCurrent(final Watch one) {
         return watch == one;
     }
 
-    /** The watch has brought a list. */
-    void take(final StagedList list) throws ListFormatException {
+    @Override
+    public void take(final StagedList list) throws ListFormatException {
         apply(list, list.isWhole() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
         retry.settled();
         heard();
     }
 
     /** The decisions hear once that they are up to date; after that, nothing said is nothing new. */
-    void unchanged(final boolean first, final boolean settled) {
+    @Override
+    public void unchanged(final boolean first, final boolean settled) {
         if (settled) {
             retry.settled();
         } else {
@@ -375,8 +376,8 @@
         heard();
     }
 
-    /** The watch has ended. */
-    void lost(final Watch ended) {
+    @Override
+    public void lost(final Watch ended) {
         if (watch != ended) {
             return;
         }
@@ -411,7 +412,7 @@
         final Difference difference = new Difference(update);
         TableUpdate.apply(table, list, difference);
         if (update != Courier.Update.RESTORED) {
-            Log.info("the list at " + list.version() + ": " + update + ", " + difference.named + " entries, "
+            Log.info("the list at " + version() + ": " + update + ", " + difference.named + " entries, "
                     + difference.gone.size() + " gone");
         }
         if (update != Courier.Update.RESTORED) {
@@ -469,7 +470,7 @@
             final Courier.Endpoint entry = endpoint(endpoint, table.conditionOf(endpoint));
             unlisted.remove(endpoint);
             change(entry);
-            host.endpoints().listed(entry, table.addressOf(endpoint));
+            host.endpoints().changed(entry);
             keep(endpoint);
         }
 
@@ -511,13 +512,14 @@
         }
     }
 
-    /** An entry cannot be used: that costs the others nothing. */
-    void unusable(final String problem) {
+    @Override
+    public void unusable(final String problem) {
         fault("an entry of the list cannot be used: " + problem);
     }
 
     /** Says what is wrong with the list, once: it may say so all day. */
-    void fault(final String what) {
+    @Override
+    public void fault(final String what) {
         if (faults.size() < MOST_FAULTS && faults.add(what)) {
             Log.info(what);
         }
