--- a/src/main/java/driftchute/node/MemoryBudget.java
+++ b/src/main/java/driftchute/node/MemoryBudget.java
@@ -69,8 +69,8 @@
     }
 
     /**
-     * A full collection has left so many bytes alive. What of it is not charged to messages is not theirs: where that is
-     * more than the reserve, as with a long list, it shortens the budget, until a later collection finds it smaller.
+     * A full collection has left so many bytes alive. What of it is not charged to messages is not theirs: where that
+     * is more than the reserve, as with a long list, it shortens the budget, until a later collection finds it smaller.
      */
     void collected(final long liveBytes) {
         final double leftBytes = (double) heapBytes - Math.max(0, liveBytes - usedBytes);
--- a/src/main/java/driftchute/node/Records.java
+++ b/src/main/java/driftchute/node/Records.java
@@ -61,8 +61,8 @@
     }
 
     /**
-     * As above, up to a position where a record ends. The file is read slice by slice, so the memory this takes does not
-     * grow with the file.
+     * As above, up to a position where a record ends. The file is read slice by slice, so the memory this takes does
+     * not grow with the file.
      */
     static long read(final FileChannel file, final long from, final long to, final Reader reader) throws IOException {
         final ByteBuffer slice = ByteBuffer.allocate((int) Math.max(0, Math.min(SLICE_BYTES, to - from)));
