Bound the time in which real-backlog hands messages in, and save each size

A run with 150,000 messages on a busy machine was ended by hand at 44,616 taken on: the courier took 100 a second by then, so that no bound on silence ended it, and the three sizes before it were lost with it. Each size is written once it is measured.

--- a/src/main/java/driftchute/scale/real/BacklogFiller.java
+++ b/src/main/java/driftchute/scale/real/BacklogFiller.java
@@ -18,8 +18,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Hands a number of messages in as fast as a number of clients can, each message once. It gives up when no answer has
- * come for some time.
+ * Hands a number of messages in as fast as a number of clients can, each message once. It ends early when no answer has
+ * come for some time, or when it has taken too long as a whole.
  */
 final class BacklogFiller {
     private static final int DIGITS = 3;
@@ -32,21 +32,25 @@
     private final byte[] body;
     private final int messages;
     private final Duration giveUp;
+    private final Duration longest;
     private final AtomicInteger next = new AtomicInteger();
     private final AtomicLong answeredNs = new AtomicLong();
+    private volatile long beginNs;
 
     BacklogFiller(
             final InetSocketAddress courier,
             final int destinations,
             final int bodyBytes,
             final int messages,
-            final Duration giveUp) {
+            final Duration giveUp,
+            final Duration longest) {
         this.courier = courier;
         this.destinations = destinations;
         this.body = new byte[bodyBytes];
         Arrays.fill(body, (byte) 'x');
         this.messages = messages;
         this.giveUp = giveUp;
+        this.longest = longest;
     }
 
     /** What one client saw. */
@@ -68,7 +72,7 @@
 
     BacklogSlopeResult.HandInCounts fill(final int clients) throws InterruptedException, ExecutionException {
         final ExecutorService threads = Executors.newFixedThreadPool(clients);
-        final long beginNs = System.nanoTime();
+        beginNs = System.nanoTime();
         answeredNs.set(beginNs);
         final Tally total = new Tally();
         try {
@@ -99,7 +103,7 @@
         final Tally tally = new Tally();
         try (ClientConnection connection = new ClientConnection(courier)) {
             for (int index = next.getAndIncrement();
-                    index < messages && answersCome();
+                    index < messages && isWorthwhile();
                     index = next.getAndIncrement()) {
                 final long sentNs = System.nanoTime();
                 final HandInAnswer answer = connection.handIn(message(index));
@@ -114,8 +118,9 @@
         return tally;
     }
 
-    private boolean answersCome() {
-        return System.nanoTime() - answeredNs.get() < giveUp.toNanos();
+    private boolean isWorthwhile() {
+        final long nowNs = System.nanoTime();
+        return nowNs - answeredNs.get() < giveUp.toNanos() && nowNs - beginNs < longest.toNanos();
     }
 
     private HandIn message(final int index) {
--- a/src/main/java/driftchute/scale/real/BacklogSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/BacklogSlopeCommand.java
@@ -69,6 +69,12 @@
     @Option(names = "--body-bytes", defaultValue = "212", description = "size of a message (default: ${DEFAULT-VALUE})")
     private int bodyBytes;
 
+    @Option(
+            names = "--fill-timeout-seconds",
+            defaultValue = "120",
+            description = "messages of a size that are not handed in by then stay out (default: ${DEFAULT-VALUE})")
+    private int fillTimeoutSeconds;
+
     /** Runs this command alone. */
     public static void main(final String[] args) {
         System.exit(new CommandLine(new BacklogSlopeCommand()).execute(args));
@@ -80,15 +86,22 @@
         CourierOptions.atLeast(spec, "--destinations", destinations, 1);
         CourierOptions.atLeast(spec, "--clients", clients, 1);
         CourierOptions.atLeast(spec, "--body-bytes", bodyBytes, 0);
+        CourierOptions.atLeast(spec, "--fill-timeout-seconds", fillTimeoutSeconds, 1);
         for (final int size : messages) {
             CourierOptions.atLeast(spec, "--messages", size, 1);
         }
         final List<BacklogSlopeResult.Row> rows = new ArrayList<>();
         for (final int size : messages) {
             rows.add(measure(size));
+            save(rows);
             progress(size, "done");
         }
         System.out.print(table(rows));
+        return CommandLine.ExitCode.OK;
+    }
+
+    /** After each size, so that a run that is cut short leaves what it has measured. */
+    private void save(final List<BacklogSlopeResult.Row> rows) throws IOException {
         if (options.output() != null) {
             ResultFile.write(
                     options.output(),
@@ -100,7 +113,6 @@
                             Runtime.getRuntime().availableProcessors(),
                             rows));
         }
-        return CommandLine.ExitCode.OK;
     }
 
     private void progress(final int size, final String what) {
@@ -127,8 +139,14 @@
                 || courier.awaitDiscovered(plan.endpointCount(), READY_TIMEOUT).isEmpty()) {
             throw new IOException("the courier did not become ready; its log: " + courier.logFile());
         }
-        final BacklogSlopeResult.HandInCounts handIn =
-                new BacklogFiller(courier.address(), destinations, bodyBytes, size, GIVE_UP).fill(clients);
+        final BacklogSlopeResult.HandInCounts handIn = new BacklogFiller(
+                        courier.address(),
+                        destinations,
+                        bodyBytes,
+                        size,
+                        GIVE_UP,
+                        Duration.ofSeconds(fillTimeoutSeconds))
+                .fill(clients);
         progress(size, "taken on " + handIn.takenOn() + ", refused " + handIn.refused());
         Thread.sleep(SETTLE.toMillis());
         final Optional<ProcessSample> before = sample(courier);
--- a/src/main/java/driftchute/scale/real/ListSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/ListSlopeCommand.java
@@ -98,20 +98,10 @@
         final List<ListSlopeResult.Row> rows = new ArrayList<>();
         for (final int size : destinations) {
             rows.add(measure(size));
+            save(rows);
             progress(size, "done");
         }
-        final ListSlopeResult result = new ListSlopeResult(
-                options.memoryMb(),
-                endpointsPerDestination,
-                idleSeconds,
-                warmUpChanges,
-                changes,
-                Runtime.getRuntime().availableProcessors(),
-                rows);
         System.out.print(table(rows));
-        if (options.output() != null) {
-            ResultFile.write(options.output(), result);
-        }
         return CommandLine.ExitCode.OK;
     }
 
@@ -130,6 +120,22 @@
         }
     }
 
+    /** After each size, so that a run that is cut short leaves what it has measured. */
+    private void save(final List<ListSlopeResult.Row> rows) throws IOException {
+        if (options.output() != null) {
+            ResultFile.write(
+                    options.output(),
+                    new ListSlopeResult(
+                            options.memoryMb(),
+                            endpointsPerDestination,
+                            idleSeconds,
+                            warmUpChanges,
+                            changes,
+                            Runtime.getRuntime().availableProcessors(),
+                            rows));
+        }
+    }
+
     private FleetPlan plan(final int size) {
         return new FleetPlan(1, size, endpointsPerDestination, 0, 1, 1, options.seed());
     }
