Test ramps of 660 couriers over one cold destination

Cause: FleetRampTest ended at 120 couriers; the target has 660, each of which sees such a destination rarely. Change: three more rows, outages of 3, 5 and 12 s. Measured: all 12 rows pass, 12 s longer in all. With the waits between trials and on ramps taken out of Control all 12 fail, the ones of 660 by 24 to 38 calls.

--- a/src/test/java/driftchute/FleetRampTest.java
+++ b/src/test/java/driftchute/FleetRampTest.java
@@ -195,7 +195,10 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"20, 3", "20, 5", "20, 12", "30, 3", "30, 5", "30, 12", "120, 3", "120, 5", "120, 12"})
+    @CsvSource({
+        "20, 3", "20, 5", "20, 12", "30, 3", "30, 5", "30, 12", "120, 3", "120, 5", "120, 12", "660, 3", "660, 5",
+        "660, 12"
+    })
     void theCallsOfAllCouriersStayUnderWhatTipsAColdDestination(final int couriers, final int downS) {
         for (final boolean hangs : new boolean[] {false, true}) {
             for (final boolean restarts : new boolean[] {false, true}) {
