--- /dev/null
+++ b/src/main/java/driftchute/node/KnownList.java
@@ -0,0 +1,63 @@
+package driftchute.node;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import driftchute.list.StagedList;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * The list of endpoints that the configuration holds. It may be many times larger than all the rest, so it is never held
+ * whole, but read from the file when it is needed. {@code length}: bytes of it, from where its text opens.
+ */
+record KnownList(Source source, long length) {
+    /** Opens the text at its first byte. */
+    interface Source {
+        InputStream open() throws IOException;
+    }
+
+    /** Its version, or the lowest number where it tells none; it is mostly the first of its fields. */
+    long version() throws IOException {
+        long version = StagedList.NO_VERSION;
+        try (InputStream in = source.open();
+                JsonParser tokens = new JsonFactory().createParser(in)) {
+            if (length == 0 || tokens.nextToken() != JsonToken.START_OBJECT) {
+                return version;
+            }
+            for (String field = tokens.nextFieldName(); field != null; field = tokens.nextFieldName()) {
+                tokens.nextToken();
+                if (field.equals("seq")) {
+                    version = tokens.getValueAsLong(version);
+                    break;
+                }
+                tokens.skipChildren();
+            }
+        }
+        return version;
+    }
+
+    /** A configuration without a list. */
+    static KnownList none() {
+        return new KnownList(InputStream::nullInputStream, 0);
+    }
+
+    /** A list that is at hand. */
+    static KnownList of(final byte[] json) {
+        return new KnownList(() -> new ByteArrayInputStream(json), json.length);
+    }
+
+    /** A list that lies between two positions of a file. */
+    static KnownList in(final Path file, final long from, final long to) {
+        return new KnownList(
+                () -> {
+                    final InputStream in = Files.newInputStream(file);
+                    in.skipNBytes(from);
+                    return in;
+                },
+                to - from);
+    }
+}
