--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -129,7 +129,7 @@
         ready = false;
         process++;
         watch.close();
-        figures.lanesVisited += control.lanesVisited();
+        figures.lanesVisited += control.workload().lanesVisited();
         control = null;
         list = parameters.storedList() ? list : new CourierList();
         open.values().forEach(this::cutOff);
@@ -415,12 +415,12 @@
 
     /** Destinations that the decisions hold state for. */
     int destinationsWithState() {
-        return control == null ? 0 : control.destinationsHeld();
+        return control == null ? 0 : control.workload().destinationsHeld();
     }
 
     /** Lanes that the steps of all processes have visited. */
     long lanesVisited() {
-        return figures.lanesVisited + (control == null ? 0 : control.lanesVisited());
+        return figures.lanesVisited + (control == null ? 0 : control.workload().lanesVisited());
     }
 
     // ---------------------------------------------------------------- stepping
