Hollow couriers keep their list on disk by the real store

Cause: a restarted hollow courier was handed the table of the process before; what reading and writing the copy costs was left out.

Change: each courier has a folder with the real store's file, which its next process reads. Its size decides the modelled time of the start; the processor time of opening and writing it is measured.

Result: FleetRunTest and ScaleCommandTest pass; the fleet with a stored list fetches no whole list at a restart, the one without fetches one at each.

--- a/src/main/java/driftchute/scale/RunCommand.java
+++ b/src/main/java/driftchute/scale/RunCommand.java
@@ -7,8 +7,12 @@
 import driftchute.scale.fleet.SurroundingsModel;
 import driftchute.scale.standin.FleetPlan;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -124,7 +128,7 @@
 
     @Option(
             names = "--no-stored-list",
-            description = "A restarted courier begins without a list, instead of with the one of the process before.")
+            description = "Couriers keep no copy of their list on disk; a restarted one begins without.")
     private boolean noStoredList;
 
     @Option(
@@ -146,7 +150,7 @@
     public Integer call() throws IOException, InterruptedException {
         final FleetParameters parameters = parameters();
         final long startNs = System.nanoTime();
-        final FleetFigures figures = new FleetRun(parameters, threads).play(progress());
+        final FleetFigures figures = play(parameters);
         final double tookSeconds = (System.nanoTime() - startNs) / NS_PER_SECOND;
         figures.add("time that the run took", tookSeconds, "s", FleetFigures.Basis.MEASURED, null);
         final RunResult result = RunResult.of(parameters, threads, figures);
@@ -158,6 +162,25 @@
         return figures.checksHold() ? 0 : 1;
     }
 
+    private FleetFigures play(final FleetParameters parameters) throws IOException, InterruptedException {
+        final Path folder = Files.createTempDirectory("scale-run");
+        try {
+            return new FleetRun(parameters, threads, folder).play(progress());
+        } finally {
+            deleteAll(folder);
+        }
+    }
+
+    private static void deleteAll(final Path folder) throws IOException {
+        final List<Path> found;
+        try (Stream<Path> walk = Files.walk(folder)) {
+            found = walk.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (final Path path : found) {
+            Files.delete(path);
+        }
+    }
+
     private FleetParameters parameters() {
         require(scale > 0 && scale <= 10, "--scale lies above 0 and up to 10, not " + scale);
         require(threads >= 1 && threads <= MOST_THREADS, "--threads lies from 1 to " + MOST_THREADS);
--- a/src/main/java/driftchute/scale/fleet/CourierList.java
+++ b/src/main/java/driftchute/scale/fleet/CourierList.java
@@ -3,18 +3,69 @@
 import driftchute.Courier;
 import driftchute.list.EndpointTable;
 import driftchute.list.ListParser;
+import driftchute.list.ListStore;
 import driftchute.list.StagedList;
 import driftchute.list.TableUpdate;
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The list of endpoints of one courier: the real table, kept up to date by the real parser from a watch's bytes. */
+/**
+ * The list of endpoints of one courier process: the real table, kept up to date by the real parser from a watch's bytes,
+ * and its copy in a folder that outlasts the process.
+ */
 final class CourierList implements Courier.Directory {
     /** Heap for what has been read of a list that is not whole yet. */
     private static final long STAGING_BYTES = 64L << 20;
 
-    private final EndpointTable table = new EndpointTable();
+    /** Room for the copy on disk. */
+    private static final long STORE_BYTES = 64L << 20;
+
+    private static final long FINGERPRINT = 1;
+
+    private final EndpointTable table;
+    /** Null for a courier that keeps no copy. */
+    private final ListStore store;
+
+    private CourierList(final EndpointTable table, final ListStore store) {
+        this.table = table;
+        this.store = store;
+    }
+
+    /** A list of which nothing outlasts the process. */
+    static CourierList unstored() {
+        return new CourierList(new EndpointTable(), null);
+    }
+
+    /** The list as the copy in that folder has it; empty where there is none. */
+    static CourierList stored(final Path folder) {
+        final ListStore store = new ListStore(folder, FINGERPRINT, STORE_BYTES, message -> {});
+        final EndpointTable found = store.load(0);
+        final CourierList list = new CourierList(found == null ? new EndpointTable() : found, store);
+        store.own(list.table);
+        list.writeStore();
+        return list;
+    }
+
+    private void writeStore() {
+        while (store.isWriting()) {
+            store.writeSlice(table);
+        }
+    }
+
+    /** Bytes of the copies in a folder. */
+    static long bytesIn(final Path folder) throws IOException {
+        long bytes = 0;
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (final Path file : files) {
+                bytes += Files.size(file);
+            }
+        }
+        return bytes;
+    }
 
     /** Takes one line of the watch; the result is what it changed, those that are gone among it. */
     List<Courier.Endpoint> feed(final byte[] line) throws IOException {
@@ -67,6 +118,10 @@
         @Override
         public void list(final StagedList list) throws IOException {
             TableUpdate.apply(table, list, this);
+            if (store != null) {
+                store.commit(table);
+                writeStore();
+            }
         }
 
         @Override
@@ -76,6 +131,9 @@
 
         @Override
         public void named(final long endpoint, final TableUpdate.Change change) {
+            if (store != null && change != TableUpdate.Change.SAME) {
+                store.put(table, endpoint);
+            }
             if (change == TableUpdate.Change.ADDED || change == TableUpdate.Change.CHANGED) {
                 entries.add(endpoint(endpoint));
             }
@@ -83,6 +141,9 @@
 
         @Override
         public void removed(final long endpoint) {
+            if (store != null) {
+                store.remove(table, endpoint);
+            }
             entries.add(entry(endpoint, Courier.Condition.GONE));
         }
 
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -190,9 +190,15 @@
     private void addProcessor() {
         final ProcessorTime total = new ProcessorTime();
         couriers.forEach(one -> total.add(one.figures().processor));
-        measuredShare("processor: read lists", total.listNs, null);
+        add(
+                "processor: open the stored list, all starts",
+                total.openListNs / NS_PER_SECOND / couriers.size(),
+                "s a courier",
+                Basis.MEASURED,
+                null);
+        measuredShare("processor: read and store lists", total.listNs, null);
         measuredShare("processor: apply lists to the decisions", total.applyNs, null);
-        measuredShare("processor: read and apply lists", total.listNs + total.applyNs, CONTROL_CORE_PERCENT);
+        measuredShare("processor: read, store and apply lists", total.listNs + total.applyNs, CONTROL_CORE_PERCENT);
         measuredShare("processor: decisions on events", total.eventDecisionsNs, null);
         measuredShare("processor: decisions on wake-ups", total.wakeDecisionsNs, null);
         add("processor: longest read of a list", total.listLongestNs / NS_PER_MS, "ms", Basis.MEASURED, null);
@@ -226,6 +232,12 @@
         counted("endpoints listed, each courier", listed / couriers.size());
         add("list state, each courier", listBytes / couriers.size(), "B", Basis.COUNTED, null);
         add("list state, each endpoint", listBytes / Math.max(1, listed), "B", Basis.COUNTED, ENDPOINT_BYTES);
+        add(
+                "stored list, each courier",
+                (double) sum(HollowCourier::storedBytes) / couriers.size(),
+                "B on disk",
+                Basis.COUNTED,
+                null);
         counted(
                 "destinations that a courier had a message for",
                 (double) sum(HollowCourier::destinationsContacted) / couriers.size());
--- a/src/main/java/driftchute/scale/fleet/FleetParameters.java
+++ b/src/main/java/driftchute/scale/fleet/FleetParameters.java
@@ -16,7 +16,7 @@
  * @param cutMode what happens to them
  * @param backlogPerCourier messages that a courier holds from earlier when it first starts
  * @param destinationsKept destinations at rest of which a courier keeps what it has learned, at most
- * @param storedList true if a restarted courier finds its list as the process before it had it
+ * @param storedList true if a courier keeps a copy of its list on disk, which a restarted one begins with
  * @param model figures assumed of what surrounds the couriers
  */
 public record FleetParameters(
--- a/src/main/java/driftchute/scale/fleet/FleetRun.java
+++ b/src/main/java/driftchute/scale/fleet/FleetRun.java
@@ -3,6 +3,7 @@
 import driftchute.scale.standin.EndpointEntry;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -38,12 +39,12 @@
     private final List<HollowCourier> couriers = new ArrayList<>();
     private long callNumber;
 
-    /** A run on so many threads. */
-    public FleetRun(final FleetParameters parameters, final int threads) {
-        this(parameters, threads, AnswerLoss.NONE);
+    /** A run on so many threads, which keeps the couriers' lists in a folder where the parameters say so. */
+    public FleetRun(final FleetParameters parameters, final int threads, final Path folder) {
+        this(parameters, threads, folder, AnswerLoss.NONE);
     }
 
-    FleetRun(final FleetParameters parameters, final int threads, final AnswerLoss loss) {
+    FleetRun(final FleetParameters parameters, final int threads, final Path folder, final AnswerLoss loss) {
         this.parameters = parameters;
         this.threads = threads;
         this.loss = loss;
@@ -52,7 +53,8 @@
         this.destinations = new Destinations(parameters, surroundings);
         this.discovery = new Discovery(listedEndpoints(), parameters.plan().seed());
         for (int index = 0; index < parameters.plan().couriers(); index++) {
-            couriers.add(new HollowCourier(index, parameters, discovery, START_US, arrivalsEndUs, endUs));
+            final Path listFolder = parameters.storedList() ? folder.resolve("courier-" + index) : null;
+            couriers.add(new HollowCourier(index, parameters, discovery, listFolder, START_US, arrivalsEndUs, endUs));
         }
         new Scenario(parameters, surroundings, discovery, couriers, START_US).schedule();
     }
--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -4,6 +4,7 @@
 import driftchute.Courier;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
@@ -18,6 +19,8 @@
 final class HollowCourier implements Courier.Actions {
     /** How late an end may come, as the platform allows. */
     private static final long LATE_US = 300 * Units.US_PER_MS;
+
+    private static final double BYTES_PER_MB = 1e6;
     /** After a start no end is late for so long. */
     private static final long START_GRACE_US = 1_500 * Units.US_PER_MS;
     /** A message refused so near its end was given up rather than turned away. */
@@ -36,7 +39,10 @@
     private final BitSet contacted = new BitSet();
     private final CourierFigures figures;
 
-    private CourierList list = new CourierList();
+    /** Where the list is kept, or null. */
+    private final Path listFolder;
+
+    private CourierList list;
     private Control control;
     private ListWatch watch;
     /** Processes so far; what was meant for an earlier one is void. */
@@ -51,6 +57,7 @@
             final int index,
             final FleetParameters parameters,
             final Discovery discovery,
+            final Path listFolder,
             final long startUs,
             final long arrivalsEndUs,
             final long endUs) {
@@ -58,6 +65,7 @@
         this.index = index;
         this.parameters = parameters;
         this.discovery = discovery;
+        this.listFolder = listFolder;
         this.arrivalsEndUs = arrivalsEndUs;
         this.settings = CourierSettings.of(parameters, zoneName());
         this.events = new EventQueue(startUs);
@@ -89,6 +97,7 @@
         final boolean first = process++ == 0;
         running = true;
         processStartUs = events.nowUs();
+        list = openList();
         control = newControl();
         watch = new ListWatch(
                 events,
@@ -100,7 +109,27 @@
                 first,
                 list.version(),
                 this::onLine);
-        inThisProcess(parameters.model().startMs() * Units.US_PER_MS, this::begin);
+        final double readSeconds = storedBytes() / (parameters.model().listMegabytesPerSecond() * BYTES_PER_MB);
+        inThisProcess(parameters.model().startMs() * Units.US_PER_MS + Units.us(readSeconds), this::begin);
+    }
+
+    private CourierList openList() {
+        if (listFolder == null) {
+            return CourierList.unstored();
+        }
+        final long fromNs = ProcessorTime.threadNs();
+        final CourierList opened = CourierList.stored(listFolder);
+        figures.processor.openListNs += ProcessorTime.threadNs() - fromNs;
+        return opened;
+    }
+
+    /** Bytes that this courier's copy of the list takes on disk. */
+    long storedBytes() {
+        try {
+            return listFolder == null ? 0 : CourierList.bytesIn(listFolder);
+        } catch (final IOException e) {
+            throw new UncheckedIOException("the folder of courier " + index + " cannot be read", e);
+        }
     }
 
     /** The one place where the decisions are made; they are given a seed of their own at each start. */
@@ -131,7 +160,6 @@
         watch.close();
         figures.lanesVisited += control.workload().lanesVisited();
         control = null;
-        list = parameters.storedList() ? list : new CourierList();
         open.values().forEach(this::cutOff);
         events.after(parameters.model().downMs() * Units.US_PER_MS, this::startProcess);
     }
--- a/src/main/java/driftchute/scale/fleet/ProcessorTime.java
+++ b/src/main/java/driftchute/scale/fleet/ProcessorTime.java
@@ -10,7 +10,7 @@
 final class ProcessorTime {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    long listNs, listLongestNs, applyNs, eventDecisionsNs, wakeDecisionsNs;
+    long openListNs, listNs, listLongestNs, applyNs, eventDecisionsNs, wakeDecisionsNs;
     long eventDecisions, wakeDecisions;
 
     /** The processor time of this thread so far. */
@@ -24,6 +24,7 @@
     }
 
     void add(final ProcessorTime other) {
+        openListNs += other.openListNs;
         listNs += other.listNs;
         listLongestNs = Math.max(listLongestNs, other.listLongestNs);
         applyNs += other.applyNs;
--- a/src/test/java/driftchute/scale/fleet/FleetRunTest.java
+++ b/src/test/java/driftchute/scale/fleet/FleetRunTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import driftchute.scale.standin.FleetPlan;
+import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A small fleet over 30 simulated seconds, with each of the disturbances; all that is asserted is counted. */
 final class FleetRunTest {
@@ -41,7 +43,7 @@
 
     private static FleetFigures play(final long seed, final int threads, final AnswerLoss loss)
             throws InterruptedException {
-        return new FleetRun(parameters(seed, false), threads, loss).play((at, of) -> {});
+        return new FleetRun(parameters(seed, false), threads, null, loss).play((at, of) -> {});
     }
 
     private static List<String> failedChecks(final FleetFigures figures) {
@@ -72,9 +74,10 @@
     }
 
     @Test
-    void aRestartedCourierThatFindsItsListFetchesOnlyWhatChanged() throws InterruptedException {
+    void aRestartedCourierThatFindsItsListFetchesOnlyWhatChanged(@TempDir final Path folder)
+            throws InterruptedException {
         final FleetFigures without = play(1, 1, AnswerLoss.NONE);
-        final FleetFigures with = new FleetRun(parameters(1, true), 1).play((at, of) -> {});
+        final FleetFigures with = new FleetRun(parameters(1, true), 1, folder).play((at, of) -> {});
         assertTrue(without.value("whole lists at restart") >= RESTARTS);
         assertEquals(0, with.value("whole lists at restart"));
         assertEquals(0, with.value("couriers without the newest list at the end"));
@@ -84,9 +87,9 @@
     void aDroppedDeliveryIsFoundByTheSums() throws InterruptedException {
         // No courier is restarted: the next process would send the message again, and only the deliveries would tell.
         final FleetParameters parameters = parameters(1, false, 0, FleetParameters.NO_ZONE);
-        final FleetFigures whole = new FleetRun(parameters, 1).play((at, of) -> {});
+        final FleetFigures whole = new FleetRun(parameters, 1, null).play((at, of) -> {});
         final FleetFigures dropped =
-                new FleetRun(parameters, 1, callNumber -> callNumber == 1_000).play((at, of) -> {});
+                new FleetRun(parameters, 1, null, callNumber -> callNumber == 1_000).play((at, of) -> {});
         assertEquals(List.of(), failedChecks(whole));
         assertEquals(
                 List.of("messages without an end after their time", "deliveries made = heard + unheard"),
