--- a/src/main/java/driftchute/scale/fleet/CourierList.java
+++ b/src/main/java/driftchute/scale/fleet/CourierList.java
@@ -14,8 +14,8 @@
 import java.util.List;
 
 /**
- * The list of endpoints of one courier process: the real table, kept up to date by the real parser from a watch's bytes,
- * and its copy in a folder that outlasts the process.
+ * The list of endpoints of one courier process: the real table, kept up to date by the real parser from a watch's
+ * bytes, and its copy in a folder that outlasts the process.
  */
 final class CourierList implements Courier.Directory {
     /** Heap for what has been read of a list that is not whole yet. */
