Scale run: real couriers beside the hollow ones, all commands in one, and a fault mended

Cause: at 660 couriers a restart that fell within a slice was told to its courier after the slice had been stepped; what it sent then came before calls that had been answered, and the run ended with "a call of us after one of us" (a trial, 13 of 90 simulated seconds).

The commands slope, real-list and real-backlog are registered.

--- a/src/main/java/driftchute/scale/RunCommand.java
+++ b/src/main/java/driftchute/scale/RunCommand.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -34,8 +35,10 @@
     private static final int REGIONS = 3;
     private static final int ZONES = 9;
     private static final int MOST_THREADS = 64;
+    private static final int MOST_REAL_COURIERS = 4;
     private static final double NS_PER_SECOND = 1e9;
     private static final long PROGRESS_EVERY_NS = 5_000_000_000L;
+    private static final double MS_PER_SECOND = 1e3;
     private static final double BYTES_PER_MB = 1e6;
 
     @Spec
@@ -50,6 +53,13 @@
     @Option(names = "--couriers", description = "Couriers (660 x scale).")
     private Integer couriers;
 
+    @Option(
+            names = "--real",
+            defaultValue = "0",
+            description = "Real couriers that are played after the hollow ones, in real time, 0 to "
+                    + MOST_REAL_COURIERS + "; the project must be built (default: ${DEFAULT-VALUE}).")
+    private int realCouriers;
+
     @Option(names = "--destinations", description = "Destinations (45,000 x scale).")
     private Integer destinations;
 
@@ -153,6 +163,14 @@
         final FleetFigures figures = play(parameters);
         final double tookSeconds = (System.nanoTime() - startNs) / NS_PER_SECOND;
         figures.add("time that the run took", tookSeconds, "s", FleetFigures.Basis.MEASURED, null);
+        if (realCouriers > 0) {
+            RealCourierRun.play(
+                    parameters.plan(),
+                    realCouriers,
+                    Duration.ofMillis(Math.round(discoveryOutage * MS_PER_SECOND)),
+                    spec.commandLine().getErr(),
+                    figures);
+        }
         final RunResult result = RunResult.of(parameters, threads, figures);
         spec.commandLine().getOut().print(ResultTable.of(result));
         spec.commandLine().getOut().flush();
@@ -183,6 +201,9 @@
 
     private FleetParameters parameters() {
         require(scale > 0 && scale <= 10, "--scale lies above 0 and up to 10, not " + scale);
+        require(
+                realCouriers >= 0 && realCouriers <= MOST_REAL_COURIERS,
+                "--real lies from 0 to " + MOST_REAL_COURIERS + ", not " + realCouriers);
         require(threads >= 1 && threads <= MOST_THREADS, "--threads lies from 1 to " + MOST_THREADS);
         require(
                 out == null || out.toAbsolutePath().getParent().toFile().isDirectory(),
--- a/src/main/java/driftchute/scale/ScaleCommand.java
+++ b/src/main/java/driftchute/scale/ScaleCommand.java
@@ -1,5 +1,8 @@
 package driftchute.scale;
 
+import driftchute.scale.real.BacklogSlopeCommand;
+import driftchute.scale.real.ListSlopeCommand;
+import driftchute.scale.slope.SlopeCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -14,7 +17,7 @@
         name = "scale",
         mixinStandardHelpOptions = true,
         description = "Plays the couriers' surroundings at a chosen size, and measures.",
-        subcommands = {RunCommand.class})
+        subcommands = {RunCommand.class, SlopeCommand.class, ListSlopeCommand.class, BacklogSlopeCommand.class})
 public final class ScaleCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/driftchute/scale/fleet/EventQueue.java
+++ b/src/main/java/driftchute/scale/fleet/EventQueue.java
@@ -15,6 +15,8 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long added;
     private long nowUs;
+    /** All events before this have been run. */
+    private long ranUntilUs;
 
     EventQueue(final long nowUs) {
         this.nowUs = nowUs;
@@ -25,8 +27,12 @@
         return nowUs;
     }
 
-    /** Adds an event; one in the past happens now. */
+    /** Adds an event, which may not lie before what has been run. */
     void at(final long atUs, final Runnable action) {
+        if (atUs < ranUntilUs) {
+            throw new IllegalArgumentException(
+                    "an event at " + atUs + " us, after all before " + ranUntilUs + " us ran");
+        }
         events.add(new Event(Math.max(nowUs, atUs), added++, action));
     }
 
@@ -42,5 +48,6 @@
             nowUs = event.atUs();
             event.action().run();
         }
+        ranUntilUs = Math.max(ranUntilUs, untilUs);
     }
 }
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -41,10 +41,13 @@
         }
     }
 
-    private static final double IN_FORCE_SECONDS = 14;
-    private static final double READY_SECONDS = 10;
+    /** Bounds of the target. */
+    public static final double IN_FORCE_SECONDS = 14;
+
+    public static final double READY_SECONDS = 10;
+    public static final double CONTROL_CORE_PERCENT = 3.4;
+
     private static final double CONTROL_BYTES_A_SECOND = 6 * 1024;
-    private static final double CONTROL_CORE_PERCENT = 3.4;
     private static final double ENDPOINT_BYTES = 80;
     private static final double SECONDS_PER_MINUTE = 60;
     private static final double NS_PER_SECOND = 1e9;
--- a/src/main/java/driftchute/scale/fleet/FleetRun.java
+++ b/src/main/java/driftchute/scale/fleet/FleetRun.java
@@ -33,7 +33,11 @@
     private final int threads;
     private final AnswerLoss loss;
     private final long endUs;
-    private final EventQueue surroundings = new EventQueue(START_US);
+    /** What happens at the destinations, in order with the calls. */
+    private final EventQueue atDestinations = new EventQueue(START_US);
+    /** What happens to discovery and to the couriers: known before they are stepped through a slice. */
+    private final EventQueue scenario = new EventQueue(START_US);
+
     private final Destinations destinations;
     private final Discovery discovery;
     private final List<HollowCourier> couriers = new ArrayList<>();
@@ -50,13 +54,13 @@
         this.loss = loss;
         final long arrivalsEndUs = START_US + Units.us(parameters.seconds());
         this.endUs = arrivalsEndUs + DRAIN_US;
-        this.destinations = new Destinations(parameters, surroundings);
+        this.destinations = new Destinations(parameters, atDestinations);
         this.discovery = new Discovery(listedEndpoints(), parameters.plan().seed());
         for (int index = 0; index < parameters.plan().couriers(); index++) {
             final Path listFolder = parameters.storedList() ? folder.resolve("courier-" + index) : null;
             couriers.add(new HollowCourier(index, parameters, discovery, listFolder, START_US, arrivalsEndUs, endUs));
         }
-        new Scenario(parameters, surroundings, discovery, couriers, START_US).schedule();
+        new Scenario(parameters, scenario, discovery, couriers, START_US).schedule();
     }
 
     /** The plan's list, where a destination's share tells its limit. */
@@ -83,9 +87,10 @@
         couriers.forEach(HollowCourier::start);
         try (CourierStepper stepper = new CourierStepper(couriers, threads)) {
             for (long fromUs = START_US; fromUs < endUs; fromUs += SLICE_US) {
+                scenario.runUntil(fromUs + SLICE_US);
                 stepper.runUntil(fromUs + SLICE_US);
                 answerCalls();
-                surroundings.runUntil(fromUs + SLICE_US);
+                atDestinations.runUntil(fromUs + SLICE_US);
                 if ((fromUs - START_US) % PROGRESS_US == 0) {
                     progress.at(seconds(fromUs - START_US), seconds(endUs - START_US));
                 }
@@ -104,7 +109,7 @@
         couriers.forEach(courier -> calls.addAll(courier.takeCalls()));
         calls.sort(BY_TIME);
         for (final AttemptCall call : calls) {
-            surroundings.runUntil(call.atUs());
+            atDestinations.runUntil(call.atUs());
             final Destinations.Answer answer = destinations.answer(call);
             if (!loss.loses(callNumber++)) {
                 couriers.get(call.courier()).answered(call, answer);
