--- a/src/main/java/driftchute/scale/real/ListSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/ListSlopeCommand.java
@@ -81,6 +81,13 @@
             description = "changes that are told before those that are measured (default: ${DEFAULT-VALUE})")
     private int warmUpChanges;
 
+    @Option(
+            names = "--disk-mb",
+            defaultValue = "7000",
+            description = "size of the folder that lasts, of which the copy of the list may take a part; the default is"
+                    + " what the target's backlog takes (default: ${DEFAULT-VALUE})")
+    private int diskMb;
+
     @Option(
             names = "--list-timeout-seconds",
             defaultValue = "36",
@@ -108,6 +115,7 @@
     private void check() {
         options.check(spec);
         CourierOptions.atLeast(spec, "--idle-seconds", idleSeconds, 1);
+        CourierOptions.atLeast(spec, "--disk-mb", diskMb, 1);
         CourierOptions.atLeast(spec, "--changes", changes, 1);
         CourierOptions.atLeast(spec, "--warm-up-changes", warmUpChanges, 0);
         CourierOptions.atLeast(spec, "--list-timeout-seconds", listTimeoutSeconds, 1);
@@ -163,7 +171,7 @@
                 LoopbackPorts.free(),
                 LoopbackPorts.free(),
                 discovery.address(),
-                new CourierLimits(options.memoryMb(), usual.sockets(), usual.diskMb(), usual.maxOpen()),
+                new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen()),
                 1,
                 ZONE,
                 options.seed());
