Say each kind of fault of the list once, refuse a whole list without entries

Faults were told apart by their text, which names versions and endpoints, so a list that stayed spoilt could fill the log's fifty lines. A whole list without the field hosts would have taken away every endpoint. Tests of the configuration's file and of what the host asks of the list.

--- a/src/main/java/driftchute/list/ListParser.java
+++ b/src/main/java/driftchute/list/ListParser.java
@@ -193,6 +193,9 @@
         list = null;
         place = Place.OUTSIDE;
         told = 0;
+        if (ended.isWhole() && !ended.hasEntries()) {
+            throw new ListFormatException(Fault.MALFORMED, "a whole list without entries");
+        }
         listener.list(ended);
     }
 
--- a/src/main/java/driftchute/list/ListStore.java
+++ b/src/main/java/driftchute/list/ListStore.java
@@ -134,20 +134,22 @@
     /** This process writes no more: another one takes over. */
     public void disown() {
         owner = false;
+        closed = true;
+        forgetWaiting();
+        final BaseWriter begun = writer;
+        final FileChannel open = file;
+        writer = null;
+        file = null;
         try {
-            if (writer != null) {
-                writer.abandon();
-                writer = null;
+            if (begun != null) {
+                begun.abandon();
             }
-            if (file != null) {
-                file.close();
-                file = null;
+            if (open != null) {
+                open.close();
             }
         } catch (final IOException e) {
             log.accept("the stored list cannot be closed: " + e.getMessage());
         }
-        closed = true;
-        forgetWaiting();
     }
 
     // ---------------------------------------------------------------- changes
--- a/src/main/java/driftchute/list/StagedEntry.java
+++ b/src/main/java/driftchute/list/StagedEntry.java
@@ -4,8 +4,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One entry as a list told it, before it is known what the table makes of it. Reused from entry to entry, so that a list
- * of any size is read with one of them.
+ * One entry as a list told it, before it is known what the table makes of it. Reused from entry to entry, so that a
+ * list of any size is read with one of them.
  */
 final class StagedEntry {
     /** The name in UTF-8: {@code nameLength} bytes of the array, from {@code nameFrom} on. */
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -48,9 +48,9 @@
     private static final double STAGING_SHARE = 0.25;
 
     /**
-     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8), what
-     * a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are small
-     * and share the last hundredth.
+     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8),
+     * what a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are
+     * small and share the last hundredth.
      */
     private static final double DISK_SHARE = 0.04;
 
@@ -253,9 +253,9 @@
     }
 
     /**
-     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came while
-     * no process ran, and the copy from the configuration does not have it. With a list in force a silent agent is not
-     * waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
+     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came
+     * while no process ran, and the copy from the configuration does not have it. With a list in force a silent agent is
+     * not waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
      */
     void whenHeard(final Runnable begin) {
         start = begin;
@@ -506,10 +506,18 @@
         fault("an entry of the list cannot be used: " + problem);
     }
 
-    /** Says what is wrong with the list, once: it may say so all day. */
     @Override
-    public void fault(final String what) {
-        if (faults.size() < MOST_FAULTS && faults.add(what)) {
+    public void refused(final ListFormatException fault) {
+        sayOnce(fault.fault().name(), "the list cannot be read: " + fault.getMessage());
+    }
+
+    private void fault(final String what) {
+        sayOnce(what, what);
+    }
+
+    /** Says what is wrong with the list, once for each kind of fault: it may say so all day. */
+    private void sayOnce(final String kind, final String what) {
+        if (faults.size() < MOST_FAULTS && faults.add(kind)) {
             Log.info(what);
         }
     }
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -214,6 +214,11 @@
         }
     }
 
+    /** Endpoints that have been called and are still listed. */
+    int called() {
+        return pools.size();
+    }
+
     /** Taken out by hand: what is not written yet is not sent. */
     void refrain(final long endpoint) {
         holdBack(call -> call.endpoint == endpoint);
--- a/src/main/java/driftchute/node/KnownList.java
+++ b/src/main/java/driftchute/node/KnownList.java
@@ -11,8 +11,8 @@
 import java.nio.file.Path;
 
 /**
- * The list of endpoints that the configuration holds. It may be many times larger than all the rest, so it is never held
- * whole, but read from the file when it is needed. {@code length}: bytes of it, from where its text opens.
+ * The list of endpoints that the configuration holds. It may be many times larger than all the rest, so it is never
+ * held whole, but read from the file when it is needed. {@code length}: bytes of it, from where its text opens.
  */
 record KnownList(Source source, long length) {
     /** Opens the text at its first byte. */
--- a/src/main/java/driftchute/node/Watch.java
+++ b/src/main/java/driftchute/node/Watch.java
@@ -57,7 +57,7 @@
         void unusable(String problem);
 
         /** The list cannot be used. */
-        void fault(String what);
+        void refused(ListFormatException fault);
 
         /** The watch has ended. */
         void lost(Watch watch);
@@ -162,17 +162,15 @@
             if (progress >= PROGRESS_BYTES) {
                 listen(SILENT_MS);
             }
+        } catch (final ListFormatException e) {
+            spoilt = true;
+            owner.refused(e);
+            context.close();
         } catch (final IOException e) {
-            spoil(e);
+            throw new IllegalStateException("reading from memory failed", e);
         }
     }
 
-    private void spoil(final IOException fault) {
-        spoilt = true;
-        owner.fault("the list cannot be read: " + fault.getMessage());
-        context.close();
-    }
-
     /** What the parser has read. */
     private final class Lists implements ListParser.Listener {
         @Override
@@ -211,7 +209,7 @@
         }
         if (owner.isCurrent(this) && isReceiving()) {
             spoilt = true;
-            owner.fault("the list cannot be read: it breaks off");
+            owner.refused(new ListFormatException(ListFormatException.Fault.BROKEN_OFF, "it breaks off"));
         }
         owner.lost(this);
     }
--- /dev/null
+++ b/src/test/java/driftchute/node/ConfigFileTest.java
@@ -0,0 +1,73 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The configuration without its list, and the list without the configuration. */
+final class ConfigFileTest {
+    private static final String LIST = "{\"seq\": 41, \"hosts\": [{\"host\":\"\u00e9\"}, {}]}";
+
+    @TempDir
+    private Path folder;
+
+    private ConfigFile read(final String text) throws IOException {
+        return ConfigFile.read(Files.writeString(folder.resolve("config.json"), text));
+    }
+
+    private static String text(final KnownList known) throws IOException {
+        try (InputStream in = known.source().open()) {
+            return new String(in.readNBytes((int) known.length()), StandardCharsets.UTF_8);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"known\":%s,\"name\":\"\u00e9\",\"settings\":{\"a\":[1]}}",
+                "{\"name\":\"\u00e9\",\"known\" :  %s ,\"settings\":{\"a\":[1]}}",
+                "{\n\"name\":\"\u00e9\",\"settings\":{\"a\":[1]},\n\"known\":%s}\n"
+            })
+    void theListIsLeftInItsPlaceWhereverThatIs(final String form) throws IOException {
+        final ConfigFile file = read(form.formatted(LIST));
+        assertFalse(file.root().has("known"), "it is not held as a tree");
+        assertEquals("\u00e9", file.root().path("name").asText());
+        assertEquals(1, file.root().path("settings").path("a").path(0).asInt());
+        assertEquals(LIST, text(file.known()));
+        assertEquals(41, file.known().version());
+    }
+
+    @Test
+    void aConfigurationMayHaveNoListAndAListNoVersion() throws IOException {
+        assertEquals(0, read("{\"name\":\"n0\"}").known().length());
+        assertEquals(Long.MIN_VALUE, read("{\"name\":\"n0\"}").known().version());
+        assertEquals(
+                Long.MIN_VALUE,
+                read("{\"known\":{\"hosts\":[{\"seq\":9}]}}").known().version());
+        assertEquals(
+                9,
+                read("{\"known\":{\"hosts\":[{\"seq\":8}],\"seq\":9}}").known().version());
+        assertFalse(read("[]").root().isObject());
+    }
+
+    @Test
+    void aFileThatBreaksOffAnywhereIsNoConfiguration() {
+        final String whole = "{\"name\":\"n0\",\"known\":" + LIST + ",\"settings\":{}}";
+        for (int length = 1; length < whole.length(); length++) {
+            final String torn = whole.substring(0, length);
+            assertThrows(IOException.class, () -> read(torn), torn);
+        }
+        assertTrue(whole.endsWith("}"));
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/node/DiscoveryTest.java
@@ -0,0 +1,100 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import driftchute.Courier;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the host can ask of the list, with the one of the configuration in force. */
+@Timeout(60)
+final class DiscoveryTest {
+    private static final String CONFIG = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"%s","seed":"1",
+             "known":{"seq":41,"whole":true,"hosts":[%s,%s,%s]},
+             "settings":{"discovery":"on_request","flavors":["std","bulk"],
+              "extra":{"per_call":[1,5],"routes_apart":[false,true]},
+              "classes":[{"name":"safe","effect":"pure","target":2000000,"deadline":9000000}]}}""";
+
+    @TempDir
+    private Path folder;
+
+    private final EventLoopGroup group =
+            new PatientLoopGroup(new DefaultThreadFactory("list"), NioIoHandler.newFactory());
+    private Host host;
+    private Discovery discovery;
+
+    @BeforeEach
+    void build() throws Exception {
+        final EventLoop loop = group.next();
+        final String text = CONFIG.formatted(
+                folder.resolve("state"),
+                Rig.host("e1", "127.0.0.1:11", "Ready"),
+                Rig.host("e2", "127.0.0.1:12", "Terminating").replace("std", "bulk"),
+                Rig.host("e3", "127.0.0.1:13", "Ready").replace("\"block\":7", "\"block\":8"));
+        final Config config = Config.parse(new ObjectMapper().readTree(text), Map.of());
+        host = new Host(config, loop, new Clock());
+        discovery = new Discovery(config, loop, host);
+        loop.submit(() -> discovery.restore(config.known())).get();
+    }
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void tellsTheEndpointsOfADestinationAndHowTheyAreCalled() {
+        final List<Courier.Endpoint> seven = discovery.endpointsOf(7);
+        assertEquals(
+                List.of(
+                        new Courier.Endpoint(discovery.idOf("e1"), Courier.Condition.LISTED, "a", 100, 0, 7),
+                        new Courier.Endpoint(discovery.idOf("e2"), Courier.Condition.DRAINING, "a", 100, 1, 7)),
+                seven);
+        assertEquals(List.of(), discovery.endpointsOf(9));
+        final Endpoints.Target target = discovery.target(discovery.idOf("e2"));
+        assertEquals(7, target.destination());
+        assertTrue(target.apart());
+        assertEquals("127.0.0.1", target.address().getHostString());
+        assertEquals(12, target.address().getPort());
+        assertEquals(5, discovery.messagesPerCall(discovery.idOf("e2")));
+        assertTrue(discovery.mayServe(8));
+        assertFalse(discovery.mayServe(9));
+        assertEquals(41, discovery.version());
+    }
+
+    @Test
+    void anEndpointThatNoListNamesHasAnIdAndNothingElse() throws Exception {
+        final long id =
+                group.next().submit(() -> discovery.idOf("left", "b", 7)).get();
+        assertEquals("left", discovery.nameOf(id));
+        assertEquals(id, discovery.idOf("left"));
+        assertNull(discovery.target(id));
+        assertEquals("", discovery.zone(id));
+        assertEquals(1, discovery.messagesPerCall(id));
+        assertEquals(3, discovery.listed());
+        assertNull(discovery.idOf("nobody"));
+        assertEquals("", discovery.nameOf(99));
+    }
+
+    @Test
+    void noEndpointHasConnectionsBeforeItsFirstCall() {
+        assertEquals(3, discovery.listed());
+        assertEquals(0, host.endpoints().called());
+    }
+}
