Slopes of counting avoided endpoints and of reading all standings

Cause: a real courier uses far more while idle than the second's step; ten counts a second go through all endpoints. Change: two more series of the step slope, through the decisions' public interface.

--- a/src/main/java/driftchute/scale/slope/DecisionFixture.java
+++ b/src/main/java/driftchute/scale/slope/DecisionFixture.java
@@ -90,6 +90,20 @@
         control.onList(nowUs, Courier.Update.CHANGES, endpoints.subList(0, 1));
     }
 
+    /** Counts the endpoints that get nothing, as the courier's figures do ten times a second. */
+    int countAvoided() {
+        return control.avoided(nowUs);
+    }
+
+    /** Reads how each endpoint stands, as a process does that hands over to another; the result counts the figures. */
+    int readAllStandings() {
+        int figures = 0;
+        for (final Courier.Endpoint endpoint : endpoints) {
+            figures += control.standing(nowUs, endpoint.id()).figures().size();
+        }
+        return figures;
+    }
+
     /** Calls that the module has asked for so far. */
     int sent() {
         return actions.sent;
--- a/src/main/java/driftchute/scale/slope/DecisionSeries.java
+++ b/src/main/java/driftchute/scale/slope/DecisionSeries.java
@@ -59,7 +59,21 @@
                         "us of processor per whole list told again",
                         LISTED,
                         TARGET_DESTINATIONS,
-                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::tellWholeListAgain)));
+                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::tellWholeListAgain)),
+                new Series(
+                        "step-avoided",
+                        "listed destinations, none with traffic",
+                        "us of processor per count of avoided endpoints",
+                        LISTED,
+                        TARGET_DESTINATIONS,
+                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::countAvoided)),
+                new Series(
+                        "step-hand-over",
+                        "listed destinations, none with traffic",
+                        "us of processor per reading of all standings",
+                        LISTED,
+                        TARGET_DESTINATIONS,
+                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::readAllStandings)));
     }
 
     /** Heap that the module holds, against the list and against waiting messages. */
