Give the real couriers of the scale run the disk that the target's backlog needs

Cause: with 64 MB of disk a real courier kept no copy of 76,500 endpoints ("it needs more than the 2560000 bytes there are for it": a twenty-fifth of the disk), and fetched the whole list after a kill.

--- a/src/main/java/driftchute/scale/RealCourierRun.java
+++ b/src/main/java/driftchute/scale/RealCourierRun.java
@@ -26,14 +26,14 @@
 
 /**
  * A few real couriers, as processes by the deploy file's command, before the list of the plan: their first start, idle
- * time, changes, an outage of discovery, and a start after SIGKILL. Each has discovery at an agent of its own; all agents
- * have one list. In real time; they are asked one after another, so with several a time is the last one's.
+ * time, changes, an outage of discovery, and a start after SIGKILL. Each has discovery at an agent of its own; all
+ * agents have one list. In real time; they are asked one after another, so with several a time is the last one's.
  */
 final class RealCourierRun {
     private static final int MEMORY_MB = 192;
     private static final int SOCKETS = 1024;
-    /** Room for the stored list, which the usual 3 MB do not give at the target's size. */
-    private static final int DISK_MB = 64;
+    /** In the target the journal of a courier takes about a gigabyte; the stored list has a small share of the disk. */
+    private static final int DISK_MB = 1024;
 
     private static final int MOST_OPEN = 5_000;
     private static final Duration MOST_START = Duration.ofSeconds(60);
