--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -3,7 +3,6 @@
 import driftchute.Courier;
 import driftchute.list.EndpointTable;
 import driftchute.list.ListFormatException;
-import driftchute.list.ListParser;
 import driftchute.list.ListStore;
 import driftchute.list.StagedList;
 import driftchute.list.TableUpdate;
@@ -16,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,12 +33,6 @@
 final class Discovery implements Watch.Owner {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
-    /**
-     * How long a start with no list at all waits for one: a courier that is ready serves somebody, but a restarted one
-     * must be ready within 10 s.
-     */
-    private static final int START_MOST_MS = 8000;
-
     private static final int CONNECT_MS = 1000;
     /** Different faults of the list that are said, at most. */
     private static final int MOST_FAULTS = 50;
@@ -54,8 +46,6 @@
      */
     private static final double DISK_SHARE = 0.04;
 
-    private static final int CHUNK_BYTES = 1 << 14;
-
     private final Config config;
     private final EventLoop loop;
     private final Host host;
@@ -68,10 +58,7 @@
     private InetSocketAddress address;
     private Watch watch;
     private boolean pushed;
-    /** What waits for the agent's first word; null once that has come, or nothing waits. */
-    private Runnable start;
-
-    private boolean firstWordLate;
+    private final ListStart start = new ListStart(this::listed, this::isReceiving);
     /** While it lasts, no watch is begun. */
     private ScheduledFuture<?> pause;
 
@@ -200,96 +187,30 @@
     }
 
     private void read(final KnownList known) {
-        final Restored restored = new Restored();
-        try (InputStream in = known.source().open()) {
-            final ListParser parser = new ListParser(stagingBytes, restored);
-            final byte[] chunk = new byte[CHUNK_BYTES];
-            long left = known.length();
-            while (left > 0) {
-                final int length = in.read(chunk, 0, (int) Math.min(chunk.length, left));
-                if (length < 0) {
-                    break;
-                }
-                parser.feed(chunk, 0, length);
-                left -= length;
+        try {
+            final StagedList list = known.read(stagingBytes, this::unusable);
+            if (list != null && list.hasEntries()) {
+                apply(list, Courier.Update.RESTORED);
             }
-            parser.end();
-            restored.apply();
         } catch (final IOException e) {
             fault("the list in the configuration cannot be used: " + e.getMessage());
         }
     }
 
-    /** The list of the configuration, applied once it is whole. */
-    private final class Restored implements ListParser.Listener {
-        private StagedList list;
-
-        @Override
-        public void list(final StagedList read) {
-            list = read;
-        }
-
-        @Override
-        public void heartbeat() {
-            // An empty line means nothing here.
-        }
-
-        @Override
-        public void unusable(final String problem) {
-            Discovery.this.unusable(problem);
-        }
-
-        private void apply() throws IOException {
-            if (list != null && list.hasEntries()) {
-                Discovery.this.apply(list, Courier.Update.RESTORED);
-            }
-        }
-    }
-
     /** Keeps a watch by itself from now on: the list is pushed, so the decisions never ask for it. */
     void push() {
         pushed = true;
         follow();
     }
 
-    /**
-     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came
-     * while no process ran, and the copy from the configuration does not have it. With a list in force a silent agent is
-     * not waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
-     */
+    /** Begins what depends on the list once that is known as well as a start may wait for; see {@link ListStart}. */
     void whenHeard(final Runnable begin) {
-        start = begin;
-        loop.schedule(
-                () -> {
-                    firstWordLate = true;
-                    startIfListed();
-                },
-                FIRST_WORD_MS,
-                TimeUnit.MILLISECONDS);
-        loop.schedule(this::startAnyway, START_MOST_MS, TimeUnit.MILLISECONDS);
+        start.await(begin, loop);
         follow();
     }
 
-    private void startIfListed() {
-        if (table.size() > 0 && (watch == null || !watch.isReceiving())) {
-            heard();
-        }
-    }
-
-    private void startAnyway() {
-        if (start != null) {
-            Log.info("starts with " + table.size() + " endpoints: no list has come in " + START_MOST_MS + " ms, "
-                    + (watch != null && watch.isReceiving() ? "one is still coming" : "discovery tells none"));
-            heard();
-        }
-    }
-
-    private void heard() {
-        final Runnable begin = start;
-        start = null;
-        if (begin != null) {
-            begin.run();
-        }
+    private boolean isReceiving() {
+        return watch != null && watch.isReceiving();
     }
 
     // ---------------------------------------------------------------- the watch
@@ -354,7 +275,7 @@
     public void take(final StagedList list) throws ListFormatException {
         apply(list, list.isWhole() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
         retry.settled();
-        heard();
+        start.heard();
     }
 
     /** The decisions hear once that they are up to date; after that, nothing said is nothing new. */
@@ -368,7 +289,7 @@
         if (first) {
             host.list(Courier.Update.CHANGES, List.of(), List.of());
         }
-        heard();
+        start.heard();
     }
 
     @Override
@@ -391,9 +312,7 @@
         if (!pushed) {
             host.list(Courier.Update.LOST, List.of(), List.of());
         }
-        if (firstWordLate || ended.isSpoilt()) {
-            startIfListed();
-        }
+        start.watchEnded(ended.isSpoilt());
     }
 
     /** The delay before the next watch where nothing was wasted. */
--- a/src/main/java/driftchute/node/KnownList.java
+++ b/src/main/java/driftchute/node/KnownList.java
@@ -3,18 +3,22 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import driftchute.list.ListParser;
 import driftchute.list.StagedList;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.function.Consumer;
 
 /**
  * The list of endpoints that the configuration holds. It may be many times larger than all the rest, so it is never
  * held whole, but read from the file when it is needed. {@code length}: bytes of it, from where its text opens.
  */
 record KnownList(Source source, long length) {
+    private static final int CHUNK_BYTES = 1 << 14;
+
     /** Opens the text at its first byte. */
     interface Source {
         InputStream open() throws IOException;
@@ -40,6 +44,56 @@
         return version;
     }
 
+    /**
+     * Reads it; null where there is none.
+     *
+     * @param budgetBytes heap that it may take
+     * @param unusable hears of entries that cannot be used
+     */
+    StagedList read(final long budgetBytes, final Consumer<String> unusable) throws IOException {
+        final Lists lists = new Lists(unusable);
+        final ListParser parser = new ListParser(budgetBytes, lists);
+        try (InputStream in = source.open()) {
+            final byte[] chunk = new byte[CHUNK_BYTES];
+            long left = length;
+            while (left > 0) {
+                final int read = in.read(chunk, 0, (int) Math.min(chunk.length, left));
+                if (read < 0) {
+                    break;
+                }
+                parser.feed(chunk, 0, read);
+                left -= read;
+            }
+            parser.end();
+        }
+        return lists.list;
+    }
+
+    /** Keeps the one list that there is. */
+    private static final class Lists implements ListParser.Listener {
+        private final Consumer<String> unusable;
+        private StagedList list;
+
+        Lists(final Consumer<String> unusable) {
+            this.unusable = unusable;
+        }
+
+        @Override
+        public void list(final StagedList read) {
+            list = read;
+        }
+
+        @Override
+        public void heartbeat() {
+            // An empty line means nothing here.
+        }
+
+        @Override
+        public void unusable(final String problem) {
+            unusable.accept(problem);
+        }
+    }
+
     /** A configuration without a list. */
     static KnownList none() {
         return new KnownList(InputStream::nullInputStream, 0);
--- /dev/null
+++ b/src/main/java/driftchute/node/ListStart.java
@@ -0,0 +1,72 @@
+package driftchute.node;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+
+/**
+ * What a start waits for. Whatever the agent has counts as told, also where it came while no process ran, and the copy
+ * that this courier begins with does not have it. With a list in force a silent agent is not waited for long, unless it
+ * is in the middle of telling; with none it is, as there is nobody to serve.
+ */
+final class ListStart {
+    /** A courier that is ready serves somebody, but a restarted one must be ready within 10 s. */
+    private static final int MOST_MS = 8000;
+
+    private final IntSupplier listed;
+    private final BooleanSupplier receiving;
+    /** What waits for the agent's first word; null once that has come, or nothing waits. */
+    private Runnable waiting;
+
+    private boolean firstWordLate;
+
+    /** {@code listed}: endpoints in the list in force. {@code receiving}: a list has begun and not ended. */
+    ListStart(final IntSupplier listed, final BooleanSupplier receiving) {
+        this.listed = listed;
+        this.receiving = receiving;
+    }
+
+    /** Runs it once, as soon as there is nothing to wait for. */
+    void await(final Runnable begin, final EventLoop loop) {
+        waiting = begin;
+        loop.schedule(
+                () -> {
+                    firstWordLate = true;
+                    beginIfListed();
+                },
+                Watch.FIRST_WORD_MS,
+                TimeUnit.MILLISECONDS);
+        loop.schedule(this::beginAnyway, MOST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The agent has told a list that is in force, or that nothing has changed. */
+    void heard() {
+        final Runnable begin = waiting;
+        waiting = null;
+        if (begin != null) {
+            begin.run();
+        }
+    }
+
+    /** A watch has ended; {@code spoilt}: what it told cannot be used. */
+    void watchEnded(final boolean spoilt) {
+        if (firstWordLate || spoilt) {
+            beginIfListed();
+        }
+    }
+
+    private void beginIfListed() {
+        if (listed.getAsInt() > 0 && !receiving.getAsBoolean()) {
+            heard();
+        }
+    }
+
+    private void beginAnyway() {
+        if (waiting != null) {
+            Log.info("starts with " + listed.getAsInt() + " endpoints: no list has come in " + MOST_MS + " ms, "
+                    + (receiving.getAsBoolean() ? "one is still coming" : "discovery tells none"));
+            heard();
+        }
+    }
+}
