--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -3,7 +3,6 @@
 import driftchute.Courier;
 import driftchute.list.EndpointTable;
 import driftchute.list.ListFormatException;
-import driftchute.list.ListParser;
 import driftchute.list.ListStore;
 import driftchute.list.StagedList;
 import driftchute.list.TableUpdate;
@@ -16,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -32,15 +30,9 @@
  * falls silent or says what cannot be read, the decisions are told that it is lost, and they say when to ask again;
  * where the settings say that the list is pushed they never ask, and the watch is kept from here.
  */
-final class Discovery {
+final class Discovery implements Watch.Owner {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
-    /**
-     * How long a start with no list at all waits for one: a courier that is ready serves somebody, but a restarted one
-     * must be ready within 10 s.
-     */
-    private static final int START_MOST_MS = 8000;
-
     private static final int CONNECT_MS = 1000;
     /** Different faults of the list that are said, at most. */
     private static final int MOST_FAULTS = 50;
@@ -48,14 +40,12 @@
     private static final double STAGING_SHARE = 0.25;
 
     /**
-     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8), what
-     * a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are small
-     * and share the last hundredth.
+     * Share of the disk for the copy of the list. Beside it lie the journal and the one that takes its place (0.8),
+     * what a process that leaves tells (0.15), and the marks of endpoints taken out and the files of turns, which are
+     * small and share the last hundredth.
      */
     private static final double DISK_SHARE = 0.04;
 
-    private static final int CHUNK_BYTES = 1 << 14;
-
     private final Config config;
     private final EventLoop loop;
     private final Host host;
@@ -68,10 +58,7 @@
     private InetSocketAddress address;
     private Watch watch;
     private boolean pushed;
-    /** What waits for the agent's first word; null once that has come, or nothing waits. */
-    private Runnable start;
-
-    private boolean firstWordLate;
+    private final ListStart start = new ListStart(this::listed, this::isReceiving);
     /** While it lasts, no watch is begun. */
     private ScheduledFuture<?> pause;
 
@@ -91,8 +78,8 @@
 
     // ---------------------------------------------------------------- what the host asks
 
-    /** The version of the list in force. */
-    long version() {
+    @Override
+    public long version() {
         return table.version();
     }
 
@@ -200,96 +187,30 @@
     }
 
     private void read(final KnownList known) {
-        final Restored restored = new Restored();
-        try (InputStream in = known.source().open()) {
-            final ListParser parser = new ListParser(stagingBytes, restored);
-            final byte[] chunk = new byte[CHUNK_BYTES];
-            long left = known.length();
-            while (left > 0) {
-                final int length = in.read(chunk, 0, (int) Math.min(chunk.length, left));
-                if (length < 0) {
-                    break;
-                }
-                parser.feed(chunk, 0, length);
-                left -= length;
+        try {
+            final StagedList list = known.read(stagingBytes, this::unusable);
+            if (list != null && list.hasEntries()) {
+                apply(list, Courier.Update.RESTORED);
             }
-            parser.end();
-            restored.apply();
         } catch (final IOException e) {
             fault("the list in the configuration cannot be used: " + e.getMessage());
         }
     }
 
-    /** The list of the configuration, applied once it is whole. */
-    private final class Restored implements ListParser.Listener {
-        private StagedList list;
-
-        @Override
-        public void list(final StagedList read) {
-            list = read;
-        }
-
-        @Override
-        public void heartbeat() {
-            // An empty line means nothing here.
-        }
-
-        @Override
-        public void unusable(final String problem) {
-            Discovery.this.unusable(problem);
-        }
-
-        private void apply() throws IOException {
-            if (list != null && list.hasEntries()) {
-                Discovery.this.apply(list, Courier.Update.RESTORED);
-            }
-        }
-    }
-
     /** Keeps a watch by itself from now on: the list is pushed, so the decisions never ask for it. */
     void push() {
         pushed = true;
         follow();
     }
 
-    /**
-     * Begins what depends on the list once the agent has told what it has: that counts as told, also where it came while
-     * no process ran, and the copy from the configuration does not have it. With a list in force a silent agent is not
-     * waited for long, unless it is in the middle of telling; with none it is, as there is nobody to serve.
-     */
+    /** Begins what depends on the list once that is known as well as a start may wait for; see {@link ListStart}. */
     void whenHeard(final Runnable begin) {
-        start = begin;
-        loop.schedule(
-                () -> {
-                    firstWordLate = true;
-                    startIfListed();
-                },
-                FIRST_WORD_MS,
-                TimeUnit.MILLISECONDS);
-        loop.schedule(this::startAnyway, START_MOST_MS, TimeUnit.MILLISECONDS);
+        start.await(begin, loop);
         follow();
     }
 
-    private void startIfListed() {
-        if (table.size() > 0 && (watch == null || !watch.isReceiving())) {
-            heard();
-        }
-    }
-
-    private void startAnyway() {
-        if (start != null) {
-            Log.info("starts with " + table.size() + " endpoints: no list has come in " + START_MOST_MS + " ms, "
-                    + (watch != null && watch.isReceiving() ? "one is still coming" : "discovery tells none"));
-            heard();
-        }
-    }
-
-    private void heard() {
-        final Runnable begin = start;
-        start = null;
-        if (begin != null) {
-            begin.run();
-        }
+    private boolean isReceiving() {
+        return watch != null && watch.isReceiving();
     }
 
     // ---------------------------------------------------------------- the watch
@@ -345,20 +266,21 @@
         });
     }
 
-    /** True for the watch that counts; one before it may still bring bytes. */
-    boolean isCurrent(final Watch one) {
+    @Override
+    public boolean isCurrent(final Watch one) {
         return watch == one;
     }
 
-    /** The watch has brought a list. */
-    void take(final StagedList list) throws ListFormatException {
+    @Override
+    public void take(final StagedList list) throws ListFormatException {
         apply(list, list.isWhole() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
         retry.settled();
-        heard();
+        start.heard();
     }
 
     /** The decisions hear once that they are up to date; after that, nothing said is nothing new. */
-    void unchanged(final boolean first, final boolean settled) {
+    @Override
+    public void unchanged(final boolean first, final boolean settled) {
         if (settled) {
             retry.settled();
         } else {
@@ -367,11 +289,11 @@
         if (first) {
             host.list(Courier.Update.CHANGES, List.of(), List.of());
         }
-        heard();
+        start.heard();
     }
 
-    /** The watch has ended. */
-    void lost(final Watch ended) {
+    @Override
+    public void lost(final Watch ended) {
         if (watch != ended) {
             return;
         }
@@ -390,9 +312,7 @@
         if (!pushed) {
             host.list(Courier.Update.LOST, List.of(), List.of());
         }
-        if (firstWordLate || ended.isSpoilt()) {
-            startIfListed();
-        }
+        start.watchEnded(ended.isSpoilt());
     }
 
     /** The delay before the next watch where nothing was wasted. */
@@ -406,7 +326,7 @@
         final Difference difference = new Difference(update);
         TableUpdate.apply(table, list, difference);
         if (update != Courier.Update.RESTORED) {
-            Log.info("the list at " + list.version() + ": " + update + ", " + difference.told.size() + " entries, "
+            Log.info("the list at " + version() + ": " + update + ", " + difference.told.size() + " entries, "
                     + difference.gone.size() + " gone");
         }
         if (update != Courier.Update.RESTORED) {
@@ -467,7 +387,7 @@
                 changed.add(entry);
             }
             if (change != TableUpdate.Change.SAME) {
-                host.endpoints().listed(entry, table.addressOf(endpoint));
+                host.endpoints().changed(entry);
                 keep(endpoint);
             }
         }
@@ -500,14 +420,23 @@
         }
     }
 
-    /** An entry cannot be used: that costs the others nothing. */
-    void unusable(final String problem) {
+    @Override
+    public void unusable(final String problem) {
         fault("an entry of the list cannot be used: " + problem);
     }
 
-    /** Says what is wrong with the list, once: it may say so all day. */
-    void fault(final String what) {
-        if (faults.size() < MOST_FAULTS && faults.add(what)) {
+    @Override
+    public void refused(final ListFormatException fault) {
+        sayOnce(fault.fault().name(), "the list cannot be read: " + fault.getMessage());
+    }
+
+    private void fault(final String what) {
+        sayOnce(what, what);
+    }
+
+    /** Says what is wrong with the list, once for each kind of fault: it may say so all day. */
+    private void sayOnce(final String kind, final String what) {
+        if (faults.size() < MOST_FAULTS && faults.add(kind)) {
             Log.info(what);
         }
     }
