--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -138,9 +138,11 @@
         this.loop = loop;
         this.clock = clock;
         this.folder = new Marks(config.state(), config.settings().guarantees().coldUs());
-        this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
         this.discovery = new Discovery(config, loop, this);
+        final int mostResting =
+                MemoryBudget.destinationsAtRest(Runtime.getRuntime().maxMemory());
+        this.control = new Control(config.settings(), config.seed(), this, discovery, mostResting);
         this.notices = new Notices(config.discovery(), loop, this);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
@@ -220,14 +222,15 @@
     /** Takes up what an earlier process held, and decides from now on. Runs on the event loop. */
     void start(final Journal owned) throws IOException {
         journal = owned;
+        discovery.keep();
         look();
         predecessors.addAll(Predecessor.all(config.state(), clock, journal));
-        final List<String> before = journal.live().stream()
-                .filter(this::takeUp)
-                .map(held -> held.id)
-                .toList();
-        if (!before.isEmpty()) {
-            Log.info("resumed " + before.size() + " messages");
+        int resumed = 0;
+        for (final Held held : journal.live()) {
+            resumed += takeUp(held) ? 1 : 0;
+        }
+        if (resumed > 0) {
+            Log.info("resumed " + resumed + " messages");
         }
         hear();
         Log.info(config.describe());
@@ -374,8 +377,12 @@
     void leave(final Leaving file) throws IOException {
         answer();
         notices.drop();
+        discovery.keepNoMore();
         for (final Courier.Endpoint entry : discovery.entries()) {
-            file.standing(discovery.nameOf(entry.id()), control.standing(clock.nowUs(), entry.id()));
+            final Courier.Standing standing = control.standing(clock.nowUs(), entry.id());
+            if (!standing.figures().isEmpty()) {
+                file.standing(discovery.nameOf(entry.id()), standing);
+            }
         }
         for (final Open open : messages.values()) {
             if (open.held.isOut()) {
@@ -495,13 +502,18 @@
         }
     }
 
-    /** The list has changed, or could not be had. */
-    void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
-        control.onList(clock.nowUs(), update, entries);
+    /** The list has changed, or could not be had; the {@link Discovery} says so already. */
+    void list(final Courier.Update update, final List<Courier.Endpoint> changed) {
+        control.onList(clock.nowUs(), update, changed);
         marks.keySet().forEach(this::mark);
         touch();
     }
 
+    /** Where and how an endpoint is called; null for one that the list does not name. */
+    Endpoints.Target target(final long endpoint) {
+        return discovery.target(endpoint);
+    }
+
     Endpoints endpoints() {
         return endpoints;
     }
