Catch a destination at rest up with one visit, however long it rested

Cause: a destination that comes into use took the steps it had missed one by one, 300 at most. Change: past the first 12 steps, rates and gaps at rest are a power of the steps.

DestinationStateTest: 10 destinations that rested for 340 s are caught up by 10 visits; the state after 20 s at rest is that of a lane that saw each step.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -9,14 +9,12 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -58,6 +56,8 @@
     // Service times.
     /** Least weight of a new sample, or of a step, in a slow average: about ten of memory. */
     private static final double SAMPLE_WEIGHT = 0.1;
+    /** Steps after which that weight holds, and a little more. */
+    private static final long STEPS_AVERAGED = 12;
     /** Service time of a class before any was seen, as a share of its aim: the aim was set to be met. */
     private static final double UNSEEN_SHARE = 0.25;
     /** Least pace of a lane, times the usual: no answer is so quick that the next must be quicker still. */
@@ -204,9 +204,8 @@
             final Directory directory,
             final int mostResting) {
         this.settings = settings;
-        final Predicate<Lane> mayForget = this::isSettled;
-        this.destinations =
-                new DestinationTable(settings, directory, mostResting, this::newLane, this::step, mayForget);
+        this.destinations = new DestinationTable(
+                settings, directory, mostResting, this::newLane, this::step, this::rest, this::isSettled);
         this.limits = settings.limits();
         this.guarantees = settings.guarantees();
         this.actions = actions;
@@ -434,7 +433,8 @@
         final Destination destination = destinations.get(id);
         if (destination != null) {
             text.append(", waiting ").append(destination.waiting.size());
-            destination.lanes.forEach(lane -> text.append(describe(lane)));
+            destination.lanes.forEach(lane -> text.append("; " + lane.kind.name() + " ")
+                    .append(lane.describe(lane.calls.size() + "/" + cap(lane), nowUs)));
         }
         return text.toString();
     }
@@ -465,26 +465,6 @@
                 || Arrays.stream(node.avoidUntilUs).allMatch(untilUs -> untilUs > now);
     }
 
-    private String describe(final Lane lane) {
-        final String state = "; " + lane.kind.name() + " " + lane.phase + (lane.slow ? " slow" : "") + " out "
-                + lane.calls.size() + "/" + cap(lane);
-        final String figures = String.format(
-                Locale.ROOT,
-                " window %.1f rate %.1f spacing %.1f told %.1f pace %.2f",
-                lane.window,
-                lane.rate,
-                lane.spacing,
-                lane.told,
-                lane.pace);
-        final long trialMs = lane.phase == Phase.OUT ? aheadMs(lane.nextTrialUs) : 0;
-        return state + figures + " wait " + aheadMs(lane.waitUntilUs) + " pause " + aheadMs(lane.pauseUntilUs)
-                + " trial " + trialMs + " ms";
-    }
-
-    private long aheadMs(final long atUs) {
-        return Math.max(0, atUs - nowUs) / 1000;
-    }
-
     // ---------------------------------------------------------------- dispatch
 
     /** Sends, best first, until no slot is free or no message may go. */
@@ -751,13 +731,28 @@
         }
         final double least = SPACING_LEAST * Math.min(1, SPACING_COURIERS / settings.couriers());
         final double refusing = least + SPACING * Math.max(lane.served, lane.rate);
-        final boolean room = settings.couriers() > FEW_COURIERS && lane.reported && lane.left > LEFT_HIGH;
-        lane.spacing = lane.refused > 0 ? refusing : (room ? SPACING_GONE : SPACING) * lane.spacing;
+        lane.spacing = lane.refused > 0 ? refusing : spacingGrowth(lane) * lane.spacing;
         lane.peak = lane.calls.size();
         lane.ratioSum = lane.refused = lane.served = lane.bad = lane.errors = 0;
         lane.allowance = null;
     }
 
+    /** How much sooner each step without refusals lets the next call go. */
+    private double spacingGrowth(final Lane lane) {
+        final boolean room = settings.couriers() > FEW_COURIERS && lane.reported && lane.left > LEFT_HIGH;
+        return room ? SPACING_GONE : SPACING;
+    }
+
+    /** As many steps at rest: once the average of few steps is past, they come to a power. */
+    private void rest(final Lane lane, final long steps) {
+        final long single = Math.min(steps, STEPS_AVERAGED);
+        for (long done = 0; done < single; done++) {
+            step(lane);
+        }
+        lane.rate *= lane.phase == Phase.WELL ? Math.pow(1 - SAMPLE_WEIGHT, steps - single) : 1;
+        lane.spacing *= Math.pow(spacingGrowth(lane), steps - single);
+    }
+
     /** Table I, rows by latency, columns by refusals, each Low, Medium, High: places in the outputs. */
     private static final double[] OUTPUTS = {0.4, 0.2, 0, -0.2, -0.4, -0.6};
 
--- a/src/main/java/driftchute/DestinationTable.java
+++ b/src/main/java/driftchute/DestinationTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
 
 /**
@@ -19,14 +20,12 @@
  * is told by {@link Control}.
  */
 final class DestinationTable {
-    /** Steps after which a lane at rest changes no more: its rate has fallen to less than 1e-13 of what it was. */
-    private static final long MOST_STEPS_MISSED = 300;
-
     private final Courier.Settings settings;
     private final Courier.Directory directory;
     private final int mostResting;
     private final Function<Courier.Kind, Lane> newLane;
     private final Consumer<Lane> step;
+    private final ObjLongConsumer<Lane> rest;
     private final Predicate<Lane> mayForget;
     private final Map<Long, Destination> destinations = new HashMap<>();
     private final Map<Long, Node> nodes = new HashMap<>();
@@ -45,12 +44,14 @@
             final int mostResting,
             final Function<Courier.Kind, Lane> newLane,
             final Consumer<Lane> step,
+            final ObjLongConsumer<Lane> rest,
             final Predicate<Lane> mayForget) {
         this.settings = settings;
         this.directory = directory;
         this.mostResting = mostResting;
         this.newLane = newLane;
         this.step = step;
+        this.rest = rest;
         this.mayForget = mayForget;
     }
 
@@ -113,7 +114,8 @@
         stepsTaken++;
         for (final Map.Entry<Long, Destination> entry : List.copyOf(active.entrySet())) {
             final Destination destination = entry.getValue();
-            stepOnce(destination);
+            lanesVisited += destination.lanes.size();
+            destination.lanes.forEach(step);
             destination.steppedAt = stepsTaken;
             if (destination.jobs == 0) {
                 active.remove(entry.getKey());
@@ -124,20 +126,16 @@
         forgetRested();
     }
 
-    /** Takes the steps that a destination at rest has missed. */
+    /** Takes the steps that a destination at rest has missed, at one visit of each lane. */
     private void catchUp(final Destination destination) {
-        final long missed = Math.min(stepsTaken - destination.steppedAt, MOST_STEPS_MISSED);
-        for (long done = 0; done < missed; done++) {
-            stepOnce(destination);
+        final long missed = stepsTaken - destination.steppedAt;
+        if (missed > 0) {
+            lanesVisited += destination.lanes.size();
+            destination.lanes.forEach(lane -> rest.accept(lane, missed));
         }
         destination.steppedAt = stepsTaken;
     }
 
-    private void stepOnce(final Destination destination) {
-        lanesVisited += destination.lanes.size();
-        destination.lanes.forEach(step);
-    }
-
     /** Forgets what has rested for longest, where there is too much; what may not be forgotten counts as used. */
     private void forgetRested() {
         for (int excess = resting.size() - mostResting; excess > 0; excess--) {
--- a/src/main/java/driftchute/LaneState.java
+++ b/src/main/java/driftchute/LaneState.java
@@ -1,5 +1,6 @@
 package driftchute;
 
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -95,4 +96,23 @@
         lastSendUs = timesUs.getOrDefault("sent", 0L);
         troubleFromUs = timesUs.getOrDefault("trouble", NEVER);
     }
+
+    /** How it stands, for the log; {@code calls}: those in flight, of how many. */
+    String describe(final String calls, final long nowUs) {
+        final String figures = String.format(
+                Locale.ROOT,
+                " window %.1f rate %.1f spacing %.1f told %.1f pace %.2f",
+                window,
+                rate,
+                spacing,
+                told,
+                pace);
+        final long trialMs = phase == Phase.OUT ? aheadMs(nextTrialUs, nowUs) : 0;
+        return phase + (slow ? " slow" : "") + " out " + calls + figures + " wait " + aheadMs(waitUntilUs, nowUs)
+                + " pause " + aheadMs(pauseUntilUs, nowUs) + " trial " + trialMs + " ms";
+    }
+
+    private static long aheadMs(final long atUs, final long nowUs) {
+        return Math.max(0, atUs - nowUs) / 1000;
+    }
 }
--- a/src/test/java/driftchute/DestinationStateTest.java
+++ b/src/test/java/driftchute/DestinationStateTest.java
@@ -54,10 +54,25 @@
         for (final Scene scene : List.of(rested, watched)) {
             scene.takeFor("second", SAFE, 0);
         }
-        assertTrue(rested.control.workload().lanesVisited() >= 20, "it has caught up");
+        assertEquals(2, rested.control.workload().lanesVisited(), "its one step, and one visit to catch up");
         assertEquals(watched.control.describe(0), rested.control.describe(0));
     }
 
+    @Test
+    void howLongADestinationRestedCostsNoMoreVisits() {
+        final Scene scene = listing(new Scene(Scene.settings()), 100);
+        for (int event = 0; event < IN_USE; event++) {
+            scene.takeFor("m" + event, SAFE, event);
+            scene.end("m" + event, Courier.Result.DELIVERED);
+        }
+        scene.pass(340 * Scene.SECOND);
+        final long before = scene.control.workload().lanesVisited();
+        for (int event = 0; event < IN_USE; event++) {
+            scene.takeFor("n" + event, SAFE, event);
+        }
+        assertEquals(before + IN_USE, scene.control.workload().lanesVisited());
+    }
+
     @Test
     void ofTheDestinationsAtRestThoseUsedLastAreRemembered() {
         final Scene scene = listing(Scene.remembering(Scene.settings(), 4), 100);
