--- a/src/test/java/driftchute/scale/real/RealCourierTest.java
+++ b/src/test/java/driftchute/scale/real/RealCourierTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import driftchute.scale.BoundedWait;
 import driftchute.scale.standin.ClientLoad;
 import driftchute.scale.standin.ClientLoadSettings;
 import driftchute.scale.standin.DestinationServer;
@@ -23,8 +24,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -98,9 +97,9 @@
                                 new MessageShape(CourierConfiguration.ORDERED_CLASS, 1, true, false, 60_000, 212)),
                         1);
                 new ClientLoad(load, List.of(courier.address()), ledger, server::register).run();
-                while (ledger.report(System.nanoTime()).open() > 0) {
-                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
-                }
+                BoundedWait.until(
+                        "the end of all messages",
+                        () -> ledger.report(System.nanoTime()).open() == 0);
                 final LedgerReport report = ledger.report(System.nanoTime());
                 assertEquals(messages, report.handedIn());
                 assertEquals(report.takenOn(), report.delivered() + report.undeliverable() + report.deferred());
--- a/src/test/java/driftchute/scale/standin/DestinationServerTest.java
+++ b/src/test/java/driftchute/scale/standin/DestinationServerTest.java
@@ -4,14 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import driftchute.scale.BoundedWait;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -63,12 +62,6 @@
                 .collect(java.util.stream.Collectors.joining(",", "[", "]"));
     }
 
-    private static void await(final BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
-        }
-    }
-
     @Test
     void aRegisteredMessageIsAcceptedAndCounted() throws IOException {
         register("m1", false);
@@ -122,7 +115,7 @@
                 RawHttpClient other = client(0)) {
             one.send("POST /inbox", "hello", "X-Request-ID: m1");
             other.send("POST /inbox", "hello", "X-Request-ID: m1");
-            await(() -> server.faults().secondCopies() == 1);
+            BoundedWait.until("the server's counts", () -> server.faults().secondCopies() == 1);
         }
         assertEquals(new CallFaults(0, 0, 0, 1, 0, 0, 0), server.faults());
     }
@@ -196,11 +189,13 @@
         try (RawHttpClient other = client(0)) {
             try (RawHttpClient client = client(0)) {
                 client.send("POST /inbox", "hello", "X-Request-ID: m1");
-                await(() -> server.counts(DESTINATION).running() == 1);
+                BoundedWait.until(
+                        "the server's counts", () -> server.counts(DESTINATION).running() == 1);
                 assertEquals(503, call(other, "m2"));
                 assertNull(other.retryAfter());
             }
-            await(() -> server.counts(DESTINATION).running() == 0);
+            BoundedWait.until(
+                    "the server's counts", () -> server.counts(DESTINATION).running() == 0);
         }
         assertTrue(accepted.isEmpty());
         assertEquals(NO_FAULTS, server.faults());
--- a/src/test/java/driftchute/scale/standin/DiscoveryServerTest.java
+++ b/src/test/java/driftchute/scale/standin/DiscoveryServerTest.java
@@ -9,15 +9,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import driftchute.scale.BoundedWait;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -54,12 +52,6 @@
         return history.change(List.of(first.get(0).withHealth(EndpointEntry.Health.TERMINATING)));
     }
 
-    private static void await(final BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
-        }
-    }
-
     /** Returns once the server has done all that it was told to do before: a notice is answered behind that. */
     private void awaitEventLoop() throws IOException {
         try (RawHttpClient notices = new RawHttpClient(server.address())) {
@@ -89,7 +81,8 @@
                 assertEquals(version, change.path("seq").asLong());
                 assertEquals(1, change.path("hosts").size());
             }
-            await(() -> server.traffic().get(0).bytesOut() == client.bytesRead());
+            BoundedWait.until(
+                    "the server's counts", () -> server.traffic().get(0).bytesOut() == client.bytesRead());
             final ConnectionTraffic traffic = server.traffic().get(0);
             assertEquals(client.bytesWritten(), traffic.bytesIn());
             assertEquals(1, traffic.wholeLists());
@@ -130,7 +123,8 @@
             assertEquals("", standing.line());
             server.mode(DiscoveryMode.UNAVAILABLE);
             final long saidBefore = standing.bytesRead();
-            await(() -> server.traffic().get(0).bytesOut() == saidBefore);
+            BoundedWait.until(
+                    "the server's counts", () -> server.traffic().get(0).bytesOut() == saidBefore);
             fresh.send(WATCH + "1", "");
             changeOne();
             awaitEventLoop();
@@ -184,7 +178,7 @@
                 assertNotEquals('\n', client.next());
             }
         }
-        await(() -> !server.traffic().get(0).open());
+        BoundedWait.until("the server's counts", () -> !server.traffic().get(0).open());
         try (RawHttpClient client = new RawHttpClient(server.address())) {
             client.request("GET /discovery/hosts", "");
             assertEquals(200, client.status(), "the server goes on once the reader has left");
