HandoverTest: wait for the first call before the second message is handed in

The test compares the order in which two calls reached the endpoint, but they travel on two connections that the stand-in reads by two threads: once in ten full runs under load the second was read first. The expectation stays; the order is forced now.

--- a/src/test/java/driftchute/node/HandoverTest.java
+++ b/src/test/java/driftchute/node/HandoverTest.java
@@ -98,6 +98,8 @@
         rig.first.script((request, connection) -> {});
         rig.start();
         assertEquals(202, rig.handIn("m1", "once").status());
+        // They travel on connections of their own: the order in which they are read is forced, not hoped for.
+        rig.await("the first call", () -> rig.first.requests.size() == 1);
         assertEquals(202, rig.handIn("m2", "safe").status());
         rig.await("the calls", () -> rig.first.requests.size() == 2);
         final Process old = rig.startBeside();
