--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -104,10 +104,19 @@
 
     /** As {@link #settings()}, with room for so many messages. */
     static Courier.Settings roomFor(final int messages) {
+        return settings(settings().couriers(), messages);
+    }
+
+    /** As {@link #settings()}, in a fleet of so many couriers. */
+    static Courier.Settings fleetOf(final int couriers) {
+        return settings(couriers, settings().limits().maxOpen());
+    }
+
+    private static Courier.Settings settings(final int couriers, final int maxOpen) {
         final Courier.Settings few = settings();
         final Courier.Limits limits = few.limits();
         return new Courier.Settings(
-                few.couriers(),
+                couriers,
                 few.zone(),
                 few.listOnRequest(),
                 few.weights(),
@@ -118,7 +127,7 @@
                 few.guarantees(),
                 new Courier.Limits(
                         limits.slots(),
-                        messages,
+                        maxOpen,
                         limits.mostAttempts(),
                         limits.mayCancel(),
                         limits.idleCloseUs(),
@@ -126,22 +135,6 @@
                         limits.maxRetryAfterUs()));
     }
 
-    /** As {@link #settings()}, in a fleet of so many couriers. */
-    static Courier.Settings fleetOf(final int couriers) {
-        final Courier.Settings few = settings();
-        return new Courier.Settings(
-                couriers,
-                few.zone(),
-                few.listOnRequest(),
-                few.weights(),
-                few.fade(),
-                few.classes(),
-                few.tenants(),
-                few.kinds(),
-                few.guarantees(),
-                few.limits());
-    }
-
     private static Courier.MessageClass kind(
             final String name,
             final Courier.Effect effect,
