Slopes: the decisions look endpoints up in the packed table; series of driftchute.list

The fixture gave Control the map that stands in for a host's list; the courier gives it a directory over EndpointTable, and tells a whole list without entries. Now the fixture does the same, so that step, state and decisions measure the program as it runs. The list slope keeps the line and its tree for comparison and adds the table (whole list into an empty table and over itself, heap held and while reading, one change) and the stored copy (bytes, writing, a change appended, loading).

--- a/src/main/java/driftchute/scale/slope/DecisionFixture.java
+++ b/src/main/java/driftchute/scale/slope/DecisionFixture.java
@@ -2,9 +2,7 @@
 
 import driftchute.Control;
 import driftchute.Courier;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.IntStream;
 
 /**
  * The decision module with a list of the target's shape, on a clock that only the measurement moves. This is the one
@@ -16,47 +14,33 @@
     static final double ENDPOINTS_PER_DESTINATION = 1.7;
 
     private static final int COURIERS = 660;
-    /** Shared by all endpoints, so that only the module's own state is counted. */
-    private static final List<String> ZONE_NAMES =
-            IntStream.range(0, 9).mapToObj(zone -> "zone-" + zone).toList();
+    /** More than any size measured: nothing that was learned is forgotten for want of room. */
+    private static final int DESTINATIONS_AT_REST = Integer.MAX_VALUE;
 
     private static final int SLOTS = 256;
     private static final long DAY_US = 24 * 3600 * SECOND_US;
     private static final long SEED = 7;
 
     private final CountingActions actions = new CountingActions();
-    private final Control control = new Control(settings(), SEED, actions);
-    private final List<Courier.Endpoint> endpoints;
+    private final ListTable list;
+    private final Control control;
+    private final int destinations;
     private long nowUs = SECOND_US;
     private int taken;
 
-    /** With so many destinations in its list. */
+    /** With so many destinations in its list, which it looks up in the courier's own table. */
     DecisionFixture(final int destinations) {
-        endpoints = endpoints(destinations);
-        control.onList(nowUs, Courier.Update.WHOLE, endpoints);
+        this.destinations = destinations;
+        this.list = ListTable.of(destinations);
+        this.control = new Control(settings(), SEED, actions, list, DESTINATIONS_AT_REST);
+        tellWholeList();
         control.decide(nowUs);
     }
 
-    /** All endpoints of a list of so many destinations; the share of endpoints to destinations is the target's. */
-    static List<Courier.Endpoint> endpoints(final int destinations) {
-        final int count = (int) Math.round(ENDPOINTS_PER_DESTINATION * destinations);
-        final List<Courier.Endpoint> endpoints = new ArrayList<>(count);
-        for (int index = 0; index < count; index++) {
-            endpoints.add(new Courier.Endpoint(
-                    index + 1,
-                    Courier.Condition.LISTED,
-                    ZONE_NAMES.get(index % ZONE_NAMES.size()),
-                    1,
-                    0,
-                    index % destinations));
-        }
-        return endpoints;
-    }
-
     /** Every destination tells a wait of a day, so that what is taken for it stays waiting. */
     void closeAll() {
-        for (final Courier.Endpoint endpoint : endpoints) {
-            control.onWait(nowUs, endpoint.id(), DAY_US);
+        for (int destination = 0; destination < destinations; destination++) {
+            list.endpointsOf(destination).forEach(endpoint -> control.onWait(nowUs, endpoint.id(), DAY_US));
         }
     }
 
@@ -80,14 +64,14 @@
         control.decide(nowUs);
     }
 
-    /** Tells the whole list again, unchanged, as after a broken watch. */
-    void tellWholeListAgain() {
-        control.onList(nowUs, Courier.Update.WHOLE, endpoints);
+    /** Tells that there is a whole list, as after a broken watch; the decisions look up what they need of it. */
+    void tellWholeList() {
+        control.onList(nowUs, Courier.Update.WHOLE, List.of());
     }
 
     /** Tells one entry, as an ordinary change does. */
     void tellOneChange() {
-        control.onList(nowUs, Courier.Update.CHANGES, endpoints.subList(0, 1));
+        control.onList(nowUs, Courier.Update.CHANGES, list.endpointsOf(0).subList(0, 1));
     }
 
     /** Counts the endpoints that get nothing, as the courier's figures do ten times a second. */
@@ -98,8 +82,10 @@
     /** Reads how each endpoint stands, as a process does that hands over to another; the result counts the figures. */
     int readAllStandings() {
         int figures = 0;
-        for (final Courier.Endpoint endpoint : endpoints) {
-            figures += control.standing(nowUs, endpoint.id()).figures().size();
+        for (int destination = 0; destination < destinations; destination++) {
+            for (final Courier.Endpoint endpoint : list.endpointsOf(destination)) {
+                figures += control.standing(nowUs, endpoint.id()).figures().size();
+            }
         }
         return figures;
     }
@@ -114,13 +100,13 @@
                 new Courier.MessageClass("notice", Courier.Effect.SAFE, false, false, 1, 0, SECOND_US, DAY_US, 0);
         return new Courier.Settings(
                 COURIERS,
-                ZONE_NAMES.get(0),
+                ListSample.zone(0),
                 false,
                 Courier.Weights.ROUGH,
                 Courier.Fade.LINEAR,
                 List.of(notice),
                 List.of(),
-                List.of(new Courier.Kind("m2", false, 1)),
+                List.of(new Courier.Kind(ListSample.KIND, false, 1)),
                 new Courier.Guarantees(10 * SECOND_US, 0.2, 13 * SECOND_US, 2.5, 0),
                 new Courier.Limits(SLOTS, Integer.MAX_VALUE, 8, true, 15 * SECOND_US, 1, 3 * SECOND_US));
     }
--- a/src/main/java/driftchute/scale/slope/DecisionSeries.java
+++ b/src/main/java/driftchute/scale/slope/DecisionSeries.java
@@ -59,7 +59,7 @@
                         "us of processor per whole list told again",
                         LISTED,
                         TARGET_DESTINATIONS,
-                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::tellWholeListAgain)),
+                        size -> ProcessorTime.microsPerCall(new DecisionFixture(size)::tellWholeList)),
                 new Series(
                         "step-avoided",
                         "listed destinations, none with traffic",
@@ -82,7 +82,7 @@
                 new Series(
                         "state-listed",
                         "listed destinations, none with traffic",
-                        "bytes of heap",
+                        "bytes of heap with the table",
                         LISTED,
                         TARGET_DESTINATIONS,
                         size -> HeapUse.bytesHeldBy(() -> new DecisionFixture(size))),
--- a/src/main/java/driftchute/scale/slope/ListSeries.java
+++ b/src/main/java/driftchute/scale/slope/ListSeries.java
@@ -8,20 +8,34 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /**
- * Bytes, processor time and heap of a whole list that is read as one line and one JSON tree, which is how
- * {@code Discovery} reads it. The steps are repeated here because that class needs an event loop and a host.
+ * Bytes, processor time and heap of a whole list: read as one line and one JSON tree, as {@code Discovery} did once,
+ * for comparison; and read as a stream into the packed table with its stored copy, as it does now. Its steps are
+ * repeated here because that class needs an event loop and a host.
  */
 final class ListSeries {
     private static final List<Integer> LISTED = List.of(100, 5000, 20_000, 45_000);
     private static final int TARGET_DESTINATIONS = 45_000;
+    /** The end of a whole list's line: of its entries, of the list, of the line. */
+    private static final int END_BYTES = "]}\n".length();
+
     private static final String SIZE_UNIT = "destinations in the list";
 
     private ListSeries() {}
 
-    /** The line's length, its parsing, the heap while it is parsed, and the search for what has gone. */
+    /** The series of both ways. */
     static List<Series> list() {
+        return Stream.of(tree(), table(), copy()).flatMap(List::stream).toList();
+    }
+
+    /** One line and tree: its length, its parsing, the heap while it is parsed, and the search for what has gone. */
+    private static List<Series> tree() {
         return List.of(
                 new Series(
                         "list-bytes",
@@ -53,6 +67,88 @@
                         ListSeries::goneSearchMicros));
     }
 
+    /** The packed table: reading a whole list into it, the heap it takes, and a change. */
+    private static List<Series> table() {
+        return List.of(
+                series(
+                        "list-table-first",
+                        "us of processor per whole list into an empty table",
+                        ListSeries::firstMicros),
+                series("list-table-again", "us of processor per whole list over the same", ListSeries::againMicros),
+                series(
+                        "list-table-heap",
+                        "bytes of heap of the table and its parser",
+                        size -> HeapUse.bytesHeldBy(() -> ListTable.of(size))),
+                series(
+                        "list-table-heap-reading",
+                        "bytes of heap while a whole list is read over the same",
+                        size -> HeapUse.bytesHeldBy(() -> halfRead(size))),
+                series("list-table-change", "us of processor per change of one entry", ListSeries::changeMicros));
+    }
+
+    /** The stored copy: its size, writing all of it, appending a change, and reading it at a start. */
+    private static List<Series> copy() {
+        return List.of(
+                series("list-copy-bytes", "bytes of the file", size -> withCopy(size, StoredListSample::bytes)),
+                series(
+                        "list-copy-write",
+                        "us of processor per whole copy",
+                        size -> withCopy(size, copy -> ProcessorTime.microsPerCall(copy::writeAll))),
+                series(
+                        "list-copy-change",
+                        "us of processor per change of one entry, read, applied and appended",
+                        size -> withCopy(size, copy -> ProcessorTime.microsPerCall(changes(size, copy::change)))),
+                series(
+                        "list-copy-load",
+                        "us of processor per load",
+                        size -> withCopy(size, copy -> ProcessorTime.microsPerCall(copy::load))));
+    }
+
+    private static Series series(final String name, final String unit, final Series.Measurement measurement) {
+        return new Series(name, SIZE_UNIT, unit, LISTED, TARGET_DESTINATIONS, measurement);
+    }
+
+    private static double firstMicros(final int destinations) {
+        final byte[] line = ListSample.wholeListBytes(destinations);
+        return ProcessorTime.microsPerCall(() -> new ListTable(new ListTable.IgnoredChanges()).feed(line));
+    }
+
+    private static double againMicros(final int destinations) {
+        final byte[] line = ListSample.wholeListBytes(destinations);
+        final ListTable list = ListTable.of(destinations);
+        return ProcessorTime.microsPerCall(() -> list.feed(line));
+    }
+
+    /** A table in force, with a parser that has all of a further whole list but its end. */
+    private static ListTable halfRead(final int destinations) {
+        final byte[] line = ListSample.wholeListBytes(destinations);
+        final ListTable list = ListTable.of(destinations);
+        list.feed(line, line.length - END_BYTES);
+        return list;
+    }
+
+    private static double changeMicros(final int destinations) {
+        return ProcessorTime.microsPerCall(changes(destinations, ListTable.of(destinations)::feed));
+    }
+
+    /** Tells that the first endpoint drains and that it is ready again, by turns. */
+    private static Runnable changes(final int destinations, final Consumer<byte[]> watch) {
+        final byte[] drains = ListSample.change(destinations, "Terminating");
+        final byte[] ready = ListSample.change(destinations, "Ready");
+        final AtomicBoolean isDraining = new AtomicBoolean();
+        return () -> {
+            final boolean draining = !isDraining.get();
+            isDraining.set(draining);
+            watch.accept(draining ? drains : ready);
+        };
+    }
+
+    private static double withCopy(final int destinations, final ToDoubleFunction<StoredListSample> measurement) {
+        try (StoredListSample copy = new StoredListSample(destinations)) {
+            return measurement.applyAsDouble(copy);
+        }
+    }
+
     private static double parseMicros(final int destinations) {
         final String line = ListSample.wholeList(destinations);
         return ProcessorTime.microsPerCall(() -> parse(line));
@@ -76,7 +172,8 @@
     /** A whole list over one that is held: each entry is searched for among all that may have gone, and removed. */
     private static double goneSearchMicros(final int destinations) {
         final Set<Long> held = new LinkedHashSet<>();
-        DecisionFixture.endpoints(destinations).forEach(endpoint -> held.add(endpoint.id()));
+        final long endpoints = Math.round(DecisionFixture.ENDPOINTS_PER_DESTINATION * destinations);
+        LongStream.rangeClosed(1, endpoints).forEach(held::add);
         return ProcessorTime.microsOnce(() -> {
             final List<Long> gone = new ArrayList<>(held);
             for (final Long id : held) {
