Slope of the list: feed the parser pieces of their own

The parser keeps hold of the last piece that it was fed. A socket gives pieces of their own, and so does the slope now.

--- a/src/main/java/driftchute/scale/slope/ListTable.java
+++ b/src/main/java/driftchute/scale/slope/ListTable.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -43,11 +44,12 @@
         feed(bytes, bytes.length);
     }
 
-    /** Takes the first of these bytes. */
+    /** Takes the first of these bytes, in pieces of their own: the parser keeps hold of the last one. */
     void feed(final byte[] bytes, final int length) {
         try {
             for (int from = 0; from < length; from += CHUNK_BYTES) {
-                parser.feed(bytes, from, Math.min(CHUNK_BYTES, length - from));
+                final byte[] chunk = Arrays.copyOfRange(bytes, from, Math.min(from + CHUNK_BYTES, length));
+                parser.feed(chunk, 0, chunk.length);
             }
         } catch (final IOException e) {
             throw new UncheckedIOException("the sample cannot be read", e);
