A send weighs its own destination anew, not all that are busy

Cause: dispatch looked for the most urgent message of all busy destinations again after each send.

Change: the best message of each destination is kept while a decision sends, and read anew for the destination that sent.

DestinationStateTest: 16 sends among 200 messages of 40 destinations look at 560 messages at most; 3,136 with the destinations weighed anew each time.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -467,26 +467,33 @@
 
     // ---------------------------------------------------------------- dispatch
 
-    /** Sends, best first, until no slot is free or no message may go. */
+    /** Sends, best first, until no slot is free or no message may go; a send changes its destination only. */
     private void dispatch() {
+        final Map<Destination, Job> candidates = new LinkedHashMap<>();
         while (callsOut < limits.slots()) {
-            final Job best = best(true);
+            if (candidates.isEmpty()) {
+                busy.values().forEach(destination -> candidates.put(destination, best(destination, true)));
+            }
+            Job best = null;
+            for (final Job job : candidates.values()) {
+                best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
+            }
             if (best == null) {
                 return;
             }
             send(best, best.lane);
+            candidates.put(best.destination, best(best.destination, true));
         }
     }
 
-    /** Of the messages that windows and guards let go (with trials or without), the most urgent, or null. */
-    private Job best(final boolean trials) {
+    /** The most urgent of a destination's messages that may go (with trials or without), or null. */
+    private Job best(final Destination destination, final boolean trials) {
         Job best = null;
-        for (final Destination destination : busy.values()) {
-            for (final Lane lane : destination.lanes) {
-                final boolean open = openAtUs(lane) <= nowUs && (trials || lane.phase == Phase.WELL);
-                final Job job = open ? pick(destination, lane, null) : null;
-                best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
-            }
+        for (final Lane lane : destination.lanes) {
+            final boolean open = openAtUs(lane) <= nowUs && (trials || lane.phase == Phase.WELL);
+            destinations.messagesVisited(open ? destination.waiting.size() : 0);
+            final Job job = open ? pick(destination, lane, null) : null;
+            best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
         }
         return best;
     }
@@ -920,7 +927,7 @@
                 .filter(call -> !call.calledOff && nowUs >= call.overdueUs())
                 .min(Comparator.comparingLong(call -> call.sentUs))
                 .orElse(null);
-        if (worst != null && best(false) != null) {
+        if (worst != null && busy.values().stream().anyMatch(one -> best(one, false) != null)) {
             worst.calledOff = true;
             jobs.values().stream()
                     .filter(job -> job.call == worst)
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -191,7 +191,8 @@
 
     /**
      * The work of the decisions, apart from the machine that does it: destinations that state is held for, lanes that
-     * the steps have visited, and waiting messages whose deadlines were read, since the start.
+     * the steps have visited, and waiting messages whose deadlines were read or that were weighed for a free slot,
+     * since the start.
      */
     record Workload(int destinationsHeld, long lanesVisited, long messagesVisited) {}
 
--- a/src/main/java/driftchute/DestinationTable.java
+++ b/src/main/java/driftchute/DestinationTable.java
@@ -60,7 +60,7 @@
         return new Courier.Workload(destinations.size(), lanesVisited, messagesVisited);
     }
 
-    /** The deadlines of so many waiting messages were read. */
+    /** So many waiting messages were looked at. */
     void messagesVisited(final int count) {
         messagesVisited += count;
     }
--- a/src/test/java/driftchute/DestinationStateTest.java
+++ b/src/test/java/driftchute/DestinationStateTest.java
@@ -109,6 +109,25 @@
                 scene.control.workload().messagesVisited() > before + waiting / 2, "they are sent or ended in the end");
     }
 
+    @Test
+    void aSendWeighsTheMessagesOfItsDestinationAnewAndNoOthers() {
+        final int destinations = 40;
+        final int each = 5;
+        final Scene scene = listing(new Scene(Scene.roomFor(1_000)), destinations);
+        for (int message = 0; message < destinations * each; message++) {
+            scene.control.onMessage(
+                    scene.nowUs,
+                    new Courier.Message(
+                            "m" + message, SAFE, -1, null, scene.nowUs + 16 * Scene.SECOND, message % destinations));
+        }
+        scene.control.decide(scene.nowUs);
+        final int slots = Scene.settings().limits().slots();
+        assertEquals(slots, scene.sent.size(), "every slot is taken");
+        final long atMost = 2L * destinations * each + 2L * slots * each;
+        final long visited = scene.control.workload().messagesVisited();
+        assertTrue(visited <= atMost, "visited " + visited + " of at most " + atMost);
+    }
+
     @Test
     void anOutageIsNeverForgotten() {
         final Scene scene = listing(Scene.remembering(Scene.settings(), 0), 100);
