End the process on errors of the virtual machine only, not where a class cannot be read

Cause: FatalError ended a courier on any Error. Change: a VirtualMachineError ends the process, as memory that runs out; others pass as before. FatalErrorTest has a case for it (its process would end without the mend); with CallCrossingsTest it passes.

--- a/src/main/java/driftchute/node/FatalError.java
+++ b/src/main/java/driftchute/node/FatalError.java
@@ -1,9 +1,10 @@
 package driftchute.node;
 
 /**
- * Ends the process on an {@link Error}: memory that ran out, or a program that is broken. After one the state of the
- * event loop is unknown, and the framework would swallow it and leave a courier that is alive and answers nobody. The
- * platform starts the courier again, and its journal holds what it owes.
+ * Ends the process on a {@link VirtualMachineError}, above all where memory ran out. After one the state of the event
+ * loop is unknown, and the framework would swallow it and leave a courier that is alive and answers nobody. The
+ * platform starts the courier again, and its journal holds what it owes. Other errors end nothing: a class that cannot
+ * be read while no descriptor is left can be read once there is one.
  */
 final class FatalError {
     /** What the virtual machine ends with as well where it sees for itself that memory ran out. */
@@ -11,10 +12,10 @@
 
     private FatalError() {}
 
-    /** Ends the process with a line if an error is the cause or behind it; returns for any other exception. */
+    /** Ends the process with a line if such an error is the cause or behind it; returns for any other. */
     static void endOn(final String what, final Throwable cause) {
         for (Throwable one = cause; one != null; one = one.getCause()) {
-            if (one instanceof Error) {
+            if (one instanceof VirtualMachineError) {
                 end(what, one);
             }
         }
@@ -30,12 +31,12 @@
         }
     }
 
-    /** The same task, with an error in it ending the process. */
+    /** The same task, with such an error in it ending the process. */
     static Runnable guarded(final Runnable task) {
         return () -> {
             try {
                 task.run();
-            } catch (final Error e) {
+            } catch (final VirtualMachineError e) {
                 end("event loop", e);
                 throw e;
             }
--- a/src/test/java/driftchute/node/FatalErrorTest.java
+++ b/src/test/java/driftchute/node/FatalErrorTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -129,6 +131,16 @@
         assertTrue(end.output().contains("terminating: a handler: java.lang.OutOfMemoryError: " + THROWN));
     }
 
+    @Test
+    void aClassThatCannotBeReadForWantOfADescriptorEndsNothing() {
+        final NoClassDefFoundError unread = new NoClassDefFoundError("driftchute/Later");
+        FatalError.endOn("a handler", unread);
+        final Runnable task = FatalError.guarded(() -> {
+            throw unread;
+        });
+        assertSame(unread, assertThrows(NoClassDefFoundError.class, task::run));
+    }
+
     @Test
     void anyOtherExceptionEndsNothing() {
         FatalError.endOn("a handler", new IllegalStateException(new IOException("reset")));
