--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -233,9 +233,9 @@
     }
 
     /**
-     * A message's whole way, and the first steps and report, so that their classes are loaded: from a folder, as in tests,
-     * each takes a descriptor, and one that could not be read never is. In service they come out of one file that is open
-     * from the start on.
+     * A message's whole way, and the first steps and report, so that their classes are loaded: from a folder, as in
+     * tests, each takes a descriptor, and one that could not be read never is. In service they come out of one file
+     * that is open from the start on.
      */
     private void warmUp() throws IOException {
         assertEquals(202, rig.handIn("m0", "once").status());
