Discovery: one check for what a restored list does not do, in place of two alike

The log line and the stored copy stood behind the same condition twice in a row; a broken line of a comment is filled. Nothing else changes.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -333,8 +333,6 @@
         if (update != Courier.Update.RESTORED) {
             Log.info("the list at " + version() + ": " + update + ", " + difference.named + " entries, "
                     + difference.gone.size() + " gone");
-        }
-        if (update != Courier.Update.RESTORED) {
             store.commit(table);
             writeStore();
         }
--- a/src/main/java/driftchute/node/PatientLoopGroup.java
+++ b/src/main/java/driftchute/node/PatientLoopGroup.java
@@ -12,9 +12,8 @@
 /**
  * One event loop that waits whole milliseconds, rounded up, for its next timer. A selector cannot wait for less, and
  * Netty, left alone, asks it without end through the last half of one: up to half a millisecond of the processor for
- * each
- * timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead. An
- * error in a task ends the process, as {@link FatalError} tells.
+ * each timer, and far more where a courier has a small share of a core. A timer is up to a millisecond late instead.
+ * An error in a task ends the process, as {@link FatalError} tells.
  */
 final class PatientLoopGroup extends MultiThreadIoEventLoopGroup {
     private static final long NS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
