Scale: real-changes measures one real courier over an hour of changes, in real time

The command tells one change at a steady pace and measures the time until each is in force, processor, memory and control bytes, also of the worst minute. The set-up of a courier that is alone stood in two commands and is one method now.

--- a/src/main/java/driftchute/scale/ScaleCommand.java
+++ b/src/main/java/driftchute/scale/ScaleCommand.java
@@ -1,6 +1,7 @@
 package driftchute.scale;
 
 import driftchute.scale.real.BacklogSlopeCommand;
+import driftchute.scale.real.ChangeScheduleCommand;
 import driftchute.scale.real.ListSlopeCommand;
 import driftchute.scale.slope.SlopeCommand;
 import picocli.CommandLine;
@@ -17,7 +18,13 @@
         name = "scale",
         mixinStandardHelpOptions = true,
         description = "Plays the couriers' surroundings at a chosen size, and measures.",
-        subcommands = {RunCommand.class, SlopeCommand.class, ListSlopeCommand.class, BacklogSlopeCommand.class})
+        subcommands = {
+            RunCommand.class,
+            SlopeCommand.class,
+            ListSlopeCommand.class,
+            BacklogSlopeCommand.class,
+            ChangeScheduleCommand.class
+        })
 public final class ScaleCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/driftchute/scale/real/BacklogSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/BacklogSlopeCommand.java
@@ -38,7 +38,6 @@
     private static final double BYTES_PER_MB = 1_000_000;
     private static final double NS_PER_SECOND = 1_000_000_000;
     private static final double PERCENT = 100;
-    private static final String ZONE = "r0z0";
     private static final String OUT_OF_MEMORY = "OutOfMemoryError";
 
     @Spec
@@ -125,7 +124,7 @@
             final InetSocketAddress dial = (InetSocketAddress) closed.getLocalSocketAddress();
             final FleetPlan plan = new FleetPlan(1, destinations, ENDPOINTS_PER_DESTINATION, 1, 1, 1, options.seed());
             try (DiscoveryServer discovery = new DiscoveryServer(new ListHistory(plan.endpoints(dial)));
-                    RealCourier courier = options.courier("real-backlog", configuration(discovery))) {
+                    RealCourier courier = options.courier("real-backlog", options.configuration(discovery, limits()))) {
                 return measure(size, plan, discovery, courier);
             }
         }
@@ -179,16 +178,8 @@
                 courier.isAlive());
     }
 
-    private CourierConfiguration configuration(final DiscoveryServer discovery) throws IOException {
-        return new CourierConfiguration(
-                "n0",
-                LoopbackPorts.free(),
-                LoopbackPorts.free(),
-                discovery.address(),
-                new CourierLimits(options.memoryMb(), CourierLimits.DEFAULT.sockets(), DISK_MB, MAX_OPEN),
-                1,
-                ZONE,
-                options.seed());
+    private CourierLimits limits() {
+        return new CourierLimits(options.memoryMb(), CourierLimits.DEFAULT.sockets(), DISK_MB, MAX_OPEN);
     }
 
     private static Optional<ProcessSample> sample(final RealCourier courier) throws IOException {
--- /dev/null
+++ b/src/main/java/driftchute/scale/real/ChangeScheduleCommand.java
@@ -0,0 +1,257 @@
+package driftchute.scale.real;
+
+import driftchute.scale.standin.ConnectionTraffic;
+import driftchute.scale.standin.DiscoveryServer;
+import driftchute.scale.standin.EndpointEntry;
+import driftchute.scale.standin.FleetPlan;
+import driftchute.scale.standin.ListHistory;
+import driftchute.scale.standin.LoopbackPorts;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/**
+ * Measures one real courier while its list changes at a steady pace, in real time; the defaults are the target's list
+ * and an hour of its changes.
+ */
+@Command(
+        name = "real-changes",
+        mixinStandardHelpOptions = true,
+        description =
+                "Starts one real courier before a list that changes at a steady pace, and measures processor time,"
+                        + " memory, traffic with discovery, and the time until each change is in force.")
+public final class ChangeScheduleCommand implements Callable<Integer> {
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    /** What the platform allows until a change is in force. */
+    private static final Duration IN_FORCE_TIMEOUT = Duration.ofSeconds(14);
+    /** Between the list coming into force and the first change, for what a start leaves behind. */
+    private static final Duration SETTLE = Duration.ofSeconds(3);
+
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double MEDIAN = 50;
+    private static final double NINETY_NINTH = 99;
+    private static final double BYTES_PER_MB = 1_000_000;
+    private static final double NS_PER_SECOND = 1_000_000_000;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private CourierOptions options;
+
+    @Option(names = "--destinations", defaultValue = "45000", description = "size (default: ${DEFAULT-VALUE})")
+    private int destinations;
+
+    @Option(
+            names = "--endpoints-per-destination",
+            defaultValue = "1.7",
+            description = "endpoints of a destination on average (default: ${DEFAULT-VALUE})")
+    private double endpointsPerDestination;
+
+    @Option(
+            names = "--changes",
+            defaultValue = "100",
+            description = "changes of one endpoint each (default: ${DEFAULT-VALUE})")
+    private int changes;
+
+    @Option(
+            names = "--seconds-between-changes",
+            defaultValue = "36",
+            description = "time between two changes (default: ${DEFAULT-VALUE})")
+    private double secondsBetweenChanges;
+
+    @Option(
+            names = "--disk-mb",
+            defaultValue = "7000",
+            description = "size of the folder that lasts (default: ${DEFAULT-VALUE})")
+    private int diskMb;
+
+    @Override
+    public Integer call() throws IOException {
+        final List<EndpointEntry> list;
+        check();
+        try (Socket refusing = LoopbackPorts.refusing()) {
+            list = plan().endpoints((InetSocketAddress) refusing.getLocalSocketAddress());
+            final ListHistory history = new ListHistory(list);
+            final CourierLimits usual = CourierLimits.DEFAULT;
+            final CourierLimits limits =
+                    new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen());
+            try (DiscoveryServer discovery = new DiscoveryServer(history);
+                    RealCourier courier = options.courier("real-changes", options.configuration(discovery, limits))) {
+                final ChangeScheduleResult result = new Measurement(list, history, discovery, courier).run();
+                if (options.output() != null) {
+                    ResultFile.write(options.output(), result);
+                }
+                spec.commandLine().getOut().print(result.table());
+                spec.commandLine().getOut().flush();
+                return result.changesInForce() == changes ? 0 : 1;
+            }
+        }
+    }
+
+    private void check() {
+        options.check(spec);
+        CourierOptions.atLeast(spec, "--changes", changes, 1);
+        CourierOptions.atLeast(spec, "--disk-mb", diskMb, 1);
+        if (!(secondsBetweenChanges > 0)) {
+            throw new ParameterException(
+                    spec.commandLine(), "--seconds-between-changes is above 0, not " + secondsBetweenChanges);
+        }
+        try {
+            plan();
+        } catch (final IllegalArgumentException e) {
+            throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+        }
+    }
+
+    private FleetPlan plan() {
+        return new FleetPlan(1, destinations, endpointsPerDestination, 0, 1, 1, options.seed());
+    }
+
+    /** Bytes to and from discovery at one moment. */
+    private record Traffic(long atNs, long bytes) {}
+
+    /** One run of the command. */
+    private final class Measurement {
+        private final List<EndpointEntry> list;
+        private final ListHistory history;
+        private final DiscoveryServer discovery;
+        private final RealCourier courier;
+        private final Histogram inForceNs = new Histogram(SIGNIFICANT_DIGITS);
+        private final List<Traffic> traffic = new ArrayList<>();
+
+        Measurement(
+                final List<EndpointEntry> list,
+                final ListHistory history,
+                final DiscoveryServer discovery,
+                final RealCourier courier) {
+            this.list = list;
+            this.history = history;
+            this.discovery = discovery;
+            this.courier = courier;
+        }
+
+        ChangeScheduleResult run() throws IOException {
+            courier.start();
+            final double ready = seconds(courier.awaitReady(START_TIMEOUT)
+                    .orElseThrow(() -> new IOException("the courier was not ready in time")));
+            final double listed = seconds(courier.awaitDiscovered(list.size(), START_TIMEOUT)
+                    .orElseThrow(() -> new IOException("the list was not in force in time")));
+            progress("ready, list in force");
+            LockSupport.parkNanos(SETTLE.toNanos());
+            final int firstLists = wholeLists();
+            final ProcessSample before = courier.sample();
+            final int inForce = tellChanges();
+            final ProcessSample after = courier.sample();
+            return new ChangeScheduleResult(
+                    options.memoryMb(),
+                    destinations,
+                    list.size(),
+                    changes,
+                    secondsBetweenChanges,
+                    Runtime.getRuntime().availableProcessors(),
+                    ready,
+                    listed,
+                    (after.atNs() - before.atNs()) / NS_PER_SECOND,
+                    inForce,
+                    inForceNs.getValueAtPercentile(MEDIAN) / NS_PER_SECOND,
+                    inForceNs.getValueAtPercentile(NINETY_NINTH) / NS_PER_SECOND,
+                    inForceNs.getMaxValue() / NS_PER_SECOND,
+                    after.processorShareSince(before),
+                    before.residentBytes() / BYTES_PER_MB,
+                    after.residentBytes() / BYTES_PER_MB,
+                    after.peakResidentBytes() / BYTES_PER_MB,
+                    bytesPerSecond(traffic.get(0), traffic.get(traffic.size() - 1)),
+                    worstMinute(),
+                    wholeLists() - firstLists);
+        }
+
+        /** Tells the changes at their pace; the result is how many came into force in time. */
+        private int tellChanges() throws IOException {
+            final long startNs = System.nanoTime();
+            int inForce = 0;
+            countTraffic();
+            for (int number = 0; number < changes; number++) {
+                inForce += isInForce(number) ? 1 : 0;
+                sleepUntil(startNs + (long) ((number + 1) * secondsBetweenChanges * NS_PER_SECOND));
+                countTraffic();
+                progress((number + 1) + " of " + changes + " changes, " + inForce + " in force");
+            }
+            return inForce;
+        }
+
+        private boolean isInForce(final int number) throws IOException {
+            final EndpointEntry entry = list.get(number / 2 % list.size());
+            final EndpointEntry.Health health =
+                    number % 2 == 0 ? EndpointEntry.Health.TERMINATING : EndpointEntry.Health.READY;
+            final long toldNs = System.nanoTime();
+            final long version = history.change(List.of(entry.withHealth(health)));
+            final boolean inForce = courier.awaitListVersion(version, IN_FORCE_TIMEOUT);
+            inForceNs.recordValue(System.nanoTime() - toldNs);
+            return inForce;
+        }
+
+        private void sleepUntil(final long untilNs) {
+            for (long nowNs = System.nanoTime(); nowNs < untilNs; nowNs = System.nanoTime()) {
+                LockSupport.parkNanos(untilNs - nowNs);
+            }
+        }
+
+        private void countTraffic() {
+            final long bytes = discovery.traffic().stream()
+                    .mapToLong(one -> one.bytesIn() + one.bytesOut())
+                    .sum();
+            traffic.add(new Traffic(System.nanoTime(), bytes));
+        }
+
+        /** The most bytes a second between two counts that lie at least a minute apart, or all of them. */
+        private double worstMinute() {
+            double worst = 0;
+            int from = 0;
+            for (int to = 1; to < traffic.size(); to++) {
+                while (isMinuteApart(traffic.get(from + 1), traffic.get(to))) {
+                    from++;
+                }
+                if (isMinuteApart(traffic.get(from), traffic.get(to))) {
+                    worst = Math.max(worst, bytesPerSecond(traffic.get(from), traffic.get(to)));
+                }
+            }
+            return worst > 0 ? worst : bytesPerSecond(traffic.get(0), traffic.get(traffic.size() - 1));
+        }
+
+        private boolean isMinuteApart(final Traffic from, final Traffic to) {
+            return to.atNs() - from.atNs() >= MINUTE.toNanos();
+        }
+
+        private double bytesPerSecond(final Traffic from, final Traffic to) {
+            return (to.bytes() - from.bytes()) / ((to.atNs() - from.atNs()) / NS_PER_SECOND);
+        }
+
+        private int wholeLists() {
+            return discovery.traffic().stream()
+                    .mapToInt(ConnectionTraffic::wholeLists)
+                    .sum();
+        }
+
+        private double seconds(final Duration duration) {
+            return duration.toNanos() / NS_PER_SECOND;
+        }
+
+        private void progress(final String what) {
+            spec.commandLine().getErr().println(spec.name() + ": " + what);
+        }
+    }
+}
--- a/src/main/java/driftchute/scale/real/CourierOptions.java
+++ b/src/main/java/driftchute/scale/real/CourierOptions.java
@@ -1,5 +1,7 @@
 package driftchute.scale.real;
 
+import driftchute.scale.standin.DiscoveryServer;
+import driftchute.scale.standin.LoopbackPorts;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +12,7 @@
 /** Options of the commands that start real couriers. */
 final class CourierOptions {
     private static final int MOST_MEMORY_MB = 4096;
+    private static final String ZONE = "r0z0";
 
     @Option(
             names = "--memory-mb",
@@ -59,6 +62,12 @@
         return output;
     }
 
+    /** What a courier that is alone is told, at free ports. */
+    CourierConfiguration configuration(final DiscoveryServer discovery, final CourierLimits limits) throws IOException {
+        return new CourierConfiguration(
+                "n0", LoopbackPorts.free(), LoopbackPorts.free(), discovery.address(), limits, 1, ZONE, seed);
+    }
+
     /** A courier with a fresh folder under the project's build folder. */
     RealCourier courier(final String name, final CourierConfiguration configuration) throws IOException {
         final Path root = projectRoot.toAbsolutePath().normalize();
--- a/src/main/java/driftchute/scale/real/ListSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/ListSlopeCommand.java
@@ -42,7 +42,6 @@
     private static final double BYTES_PER_MB = 1_000_000;
     private static final double NS_PER_SECOND = 1_000_000_000;
     private static final double PERCENT = 100;
-    private static final String ZONE = "r0z0";
 
     @Spec
     private CommandSpec spec;
@@ -158,23 +157,15 @@
             final List<EndpointEntry> list = plan(size).endpoints(dial);
             final ListHistory history = new ListHistory(list);
             try (DiscoveryServer discovery = new DiscoveryServer(history);
-                    RealCourier courier = options.courier("real-list", configuration(discovery))) {
+                    RealCourier courier = options.courier("real-list", options.configuration(discovery, limits()))) {
                 return new Measurement(size, list, history, discovery, courier).run();
             }
         }
     }
 
-    private CourierConfiguration configuration(final DiscoveryServer discovery) throws IOException {
+    private CourierLimits limits() {
         final CourierLimits usual = CourierLimits.DEFAULT;
-        return new CourierConfiguration(
-                "n0",
-                LoopbackPorts.free(),
-                LoopbackPorts.free(),
-                discovery.address(),
-                new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen()),
-                1,
-                ZONE,
-                options.seed());
+        return new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen());
     }
 
     private static void pause(final Duration length) {
