Scale run: lines of the control machines, replaced zones, a region that is cut off

Disturbances are a record of their own. The first 30 s of a run (--settle) are for the first lists, so that their storm and the changes are told apart.

--- a/src/main/java/driftchute/scale/RunCommand.java
+++ b/src/main/java/driftchute/scale/RunCommand.java
@@ -1,5 +1,6 @@
 package driftchute.scale;
 
+import driftchute.scale.fleet.Disturbances;
 import driftchute.scale.fleet.FleetFigures;
 import driftchute.scale.fleet.FleetParameters;
 import driftchute.scale.fleet.FleetRun;
@@ -96,6 +97,13 @@
             description = "Simulated seconds in which messages come; 30 more follow (default: ${DEFAULT-VALUE}).")
     private int seconds;
 
+    @Option(
+            names = "--settle",
+            defaultValue = "30",
+            description = "Simulated seconds before those, in which messages come but nothing goes wrong: all couriers"
+                    + " fetch their first list (default: ${DEFAULT-VALUE}).")
+    private double settleSeconds;
+
     @Option(names = "--restarts", description = "Couriers killed and started again during the run (77 x scale).")
     private Integer restarts;
 
@@ -121,7 +129,32 @@
             names = "--cut-mode",
             defaultValue = "RESTART",
             description = "What happens to them: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
-    private FleetParameters.CutMode cutMode;
+    private Disturbances.CutMode cutMode;
+
+    @Option(
+            names = "--cut-region",
+            defaultValue = "-1",
+            description = "The region that is cut off from the others and from the control machines at a quarter of the"
+                    + " run; -1 for none (default: ${DEFAULT-VALUE}).")
+    private int cutRegion;
+
+    @Option(
+            names = "--region-cut",
+            defaultValue = "60",
+            description = "Seconds for which it is cut off, half of the run at most (default: ${DEFAULT-VALUE}).")
+    private double regionCutSeconds;
+
+    @Option(
+            names = "--control-machines",
+            defaultValue = "3",
+            description = "Machines that send lists, each to its part of the couriers (default: ${DEFAULT-VALUE}).")
+    private int controlMachines;
+
+    @Option(
+            names = "--control-line",
+            defaultValue = "125",
+            description = "Megabytes a second that each of them sends at most (default: ${DEFAULT-VALUE}).")
+    private double controlMegabytesPerSecond;
 
     @Option(
             names = "--backlog",
@@ -214,20 +247,30 @@
                     eventsPerSecond != null ? eventsPerSecond : TARGET_EVENTS_PER_SECOND * scale,
                     changesPerDay,
                     seconds,
-                    restarts != null ? restarts : scaled(TARGET_RESTARTS),
-                    discoveryOutage,
-                    silentWatches,
-                    cutZone,
-                    cutMode,
+                    settleSeconds,
+                    disturbances(),
                     backlog,
                     destinationsKept,
                     !noStoredList,
-                    SurroundingsModel.DEFAULT.withCallsPerSecond(destinationLimit));
+                    SurroundingsModel.DEFAULT.with(
+                            destinationLimit,
+                            new SurroundingsModel.Control(controlMachines, controlMegabytesPerSecond)));
         } catch (final IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage(), e);
         }
     }
 
+    private Disturbances disturbances() {
+        return new Disturbances(
+                restarts != null ? restarts : scaled(TARGET_RESTARTS),
+                discoveryOutage,
+                silentWatches,
+                cutZone,
+                cutMode,
+                cutRegion,
+                cutRegion == Disturbances.NONE ? 0 : regionCutSeconds);
+    }
+
     private FleetPlan plan() {
         return new FleetPlan(
                 couriers != null ? couriers : scaled(TARGET_COURIERS),
--- a/src/main/java/driftchute/scale/fleet/AttemptCall.java
+++ b/src/main/java/driftchute/scale/fleet/AttemptCall.java
@@ -10,6 +10,7 @@
  * @param attempt its number among the message's attempts
  * @param destination the destination called
  * @param endpoint the endpoint called
+ * @param endpointZone the zone that it lies in
  * @param timeoutUs how long the courier waits
  */
 record AttemptCall(
@@ -20,4 +21,5 @@
         int attempt,
         long destination,
         long endpoint,
+        String endpointZone,
         long timeoutUs) {}
--- a/src/main/java/driftchute/scale/fleet/CourierFigures.java
+++ b/src/main/java/driftchute/scale/fleet/CourierFigures.java
@@ -9,7 +9,7 @@
     final ListWatch.Fetches fetches = new ListWatch.Fetches();
     final ProcessorTime processor = new ProcessorTime();
     final ControlTraffic traffic;
-    /** From each change until it was in force here, or from this process's start where that was later. */
+    /** From each change, this process's start or the end of a cut, whichever was last, until it was in force here. */
     final List<Long> inForceUs = new ArrayList<>();
     /** From a process's start until it was ready. */
     final List<Long> firstReadyUs = new ArrayList<>();
@@ -28,7 +28,7 @@
     }
 
     /** A change is known to discovery from the begin of its slice on, so that it may come into force just before it. */
-    void inForce(final Iterable<Long> madeAtUs, final long processStartUs, final long nowUs) {
-        madeAtUs.forEach(madeUs -> inForceUs.add(Math.max(0, nowUs - Math.max(madeUs, processStartUs))));
+    void inForce(final Iterable<Long> madeAtUs, final long reachableUs, final long nowUs) {
+        madeAtUs.forEach(madeUs -> inForceUs.add(Math.max(0, nowUs - Math.max(madeUs, reachableUs))));
     }
 }
--- a/src/main/java/driftchute/scale/fleet/CourierList.java
+++ b/src/main/java/driftchute/scale/fleet/CourierList.java
@@ -67,6 +67,15 @@
         return bytes;
     }
 
+    /** Deletes the copies in a folder. */
+    static void deleteIn(final Path folder) throws IOException {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (final Path file : files) {
+                Files.delete(file);
+            }
+        }
+    }
+
     /** Takes one line of the watch; the result is what it changed, those that are gone among it. */
     List<Courier.Endpoint> feed(final byte[] line) throws IOException {
         final Changes changes = new Changes();
--- a/src/main/java/driftchute/scale/fleet/Destinations.java
+++ b/src/main/java/driftchute/scale/fleet/Destinations.java
@@ -47,7 +47,7 @@
     private final Histogram coldLoad = new Histogram(MOST_PERCENT, 2);
 
     private long lastCallUs;
-    private long calls, delivered, refused, callsWhileDown, coldSpans, coldSpansOverTip;
+    private long calls, delivered, refused, callsWhileDown, callsCutOff, coldSpans, coldSpansOverTip;
 
     Destinations(final FleetParameters parameters, final EventQueue events) {
         this.parameters = parameters;
@@ -124,6 +124,13 @@
         return new Answer(Courier.Result.DELIVERED, LEAST_ANSWER_US + Math.min(MOST_SERVICE_US, serviceUs));
     }
 
+    /** A call over a cut network: its connection never comes up, until the courier stops waiting. */
+    Answer unreachable(final AttemptCall call) {
+        calls++;
+        callsCutOff++;
+        return new Answer(Courier.Result.NO_CONNECTION, Math.max(LEAST_ANSWER_US, call.timeoutUs() - 1));
+    }
+
     /** One half of those that are down refuse connections, the others take a call and never answer. */
     private static Answer whileDown(final int destination, final AttemptCall call) {
         return destination % 2 == 0
@@ -204,6 +211,10 @@
         return callsWhileDown;
     }
 
+    long callsCutOff() {
+        return callsCutOff;
+    }
+
     long coldSpans() {
         return coldSpans;
     }
--- a/src/main/java/driftchute/scale/fleet/EventQueue.java
+++ b/src/main/java/driftchute/scale/fleet/EventQueue.java
@@ -36,6 +36,11 @@
         events.add(new Event(Math.max(nowUs, atUs), added++, action));
     }
 
+    /** Adds an event at this time or, where that has passed, at the end of what has been run. */
+    void atOrNext(final long atUs, final Runnable action) {
+        at(Math.max(atUs, ranUntilUs), action);
+    }
+
     /** Adds an event that happens after a delay. */
     void after(final long delayUs, final Runnable action) {
         at(nowUs + delayUs, action);
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -52,6 +52,7 @@
     private static final double SECONDS_PER_MINUTE = 60;
     private static final double NS_PER_SECOND = 1e9;
     private static final double NS_PER_MS = 1e6;
+    private static final double BYTES_PER_MB = 1e6;
     private static final int PERCENT = 100;
     private static final double MEDIAN = 50;
     private static final double NINETY_NINTH = 99;
@@ -70,6 +71,7 @@
             final FleetParameters parameters,
             final double seconds,
             final Discovery discovery,
+            final ControlUplink uplink,
             final Destinations destinations,
             final List<HollowCourier> couriers) {
         final FleetFigures result = new FleetFigures(couriers, seconds);
@@ -77,6 +79,7 @@
         result.addStarts();
         result.addFetches();
         result.addTraffic();
+        result.addUplink(uplink);
         result.addProcessor();
         final MessageCounts messages = result.addMessages();
         result.addDestinations(destinations);
@@ -190,6 +193,11 @@
                 CONTROL_BYTES_A_SECOND);
     }
 
+    private void addUplink(final ControlUplink uplink) {
+        simulated("control lines, busiest one in use", uplink.busiestUs() / Units.US_PER_SECOND, "s", null);
+        add("control lines, bytes sent", uplink.bytesSent() / BYTES_PER_MB, "MB", Basis.COUNTED, null);
+    }
+
     private void addProcessor() {
         final ProcessorTime total = new ProcessorTime();
         couriers.forEach(one -> total.add(one.figures().processor));
@@ -222,6 +230,7 @@
         counted("messages refused", total.refused);
         counted("messages refused at the end of their time", total.givenUp);
         counted("messages failed", total.failed);
+        counted("messages lost with a folder", total.lostWithFolder);
         counted("messages ended late", total.late);
         counted("messages open at the end", sum(HollowCourier::openMessages));
         counted("attempts", total.attempts);
@@ -255,6 +264,7 @@
     private void addDestinations(final Destinations destinations) {
         counted("calls", destinations.calls());
         counted("calls to destinations that were down", destinations.callsWhileDown());
+        counted("calls over a cut network", destinations.callsCutOff());
         counted("calls refused above the limit", destinations.refused());
         counted("cold spans with calls", destinations.coldSpans());
         counted("cold spans above what tips and chance", destinations.coldSpansOverTip());
@@ -269,7 +279,8 @@
 
     private void addChecks(final Discovery discovery, final Destinations destinations, final MessageCounts messages) {
         final long open = sum(HollowCourier::openMessages);
-        checks.add(new Check("messages taken = ended + open", messages.taken, messages.ended() + open));
+        checks.add(new Check(
+                "messages taken = ended + lost with a folder + open", messages.taken, messages.ended() + open));
         checks.add(new Check("messages that ended twice", 0, messages.endedTwice));
         checks.add(new Check("messages without an end after their time", 0, sum(HollowCourier::overdue)));
         checks.add(new Check(
--- a/src/main/java/driftchute/scale/fleet/FleetParameters.java
+++ b/src/main/java/driftchute/scale/fleet/FleetParameters.java
@@ -1,5 +1,8 @@
 package driftchute.scale.fleet;
 
+import static driftchute.scale.fleet.Disturbances.NONE;
+import static driftchute.scale.fleet.Disturbances.require;
+
 import driftchute.scale.standin.FleetPlan;
 
 /**
@@ -8,12 +11,9 @@
  * @param plan the fleet, its list of endpoints, its zones and the seed
  * @param eventsPerSecond messages handed in a second, over all couriers
  * @param changesPerDay changes of the list a day
- * @param seconds simulated time in which messages are handed in
- * @param restarts couriers killed and started again during the run, one after another
- * @param outageSeconds how long discovery is silent, once
- * @param silentWatches share of the couriers whose watch falls silent, at one moment
- * @param cutZone the zone whose couriers are cut off at one moment, or {@link #NO_ZONE}
- * @param cutMode what happens to them
+ * @param seconds simulated time in which the list changes and things go wrong
+ * @param settleSeconds simulated time before that, in which all couriers fetch their first list
+ * @param disturbances what goes wrong
  * @param backlogPerCourier messages that a courier holds from earlier when it first starts
  * @param destinationsKept destinations at rest of which a courier keeps what it has learned, at most
  * @param storedList true if a courier keeps a copy of its list on disk, which a restarted one begins with
@@ -24,49 +24,38 @@
         double eventsPerSecond,
         double changesPerDay,
         int seconds,
-        int restarts,
-        double outageSeconds,
-        double silentWatches,
-        int cutZone,
-        CutMode cutMode,
+        double settleSeconds,
+        Disturbances disturbances,
         int backlogPerCourier,
         int destinationsKept,
         boolean storedList,
         SurroundingsModel model) {
-    /** No zone is cut off. */
-    public static final int NO_ZONE = -1;
-
-    /** What happens to the couriers of the zone that is cut off. */
-    public enum CutMode {
-        /** Their processes are killed and started again. */
-        RESTART,
-        /** Their watches break and are begun again. */
-        RECONNECT
-    }
+    /** The share of the run that a cut of a region may take, so that its end is seen. */
+    private static final double MOST_REGION_CUT = 0.5;
 
     /** Refuses parameters that contradict themselves. */
     public FleetParameters {
         require(eventsPerSecond >= 0, "events a second are not negative: " + eventsPerSecond);
         require(changesPerDay >= 0, "changes a day are not negative: " + changesPerDay);
         require(seconds >= 1, "a run lasts at least one second, not " + seconds);
+        require(settleSeconds >= 0, "the time before it is not negative: " + settleSeconds);
         require(model.callsPerSecond() > 0, "a destination bears some calls, not " + model.callsPerSecond());
-        require(restarts >= 0, "restarts are not negative: " + restarts);
-        require(outageSeconds >= 0, "an outage is not negative: " + outageSeconds);
-        require(outageSeconds <= seconds, "an outage is not longer than the run: " + outageSeconds);
-        require(silentWatches >= 0 && silentWatches <= 1, "a share lies between 0 and 1, not " + silentWatches);
         require(
-                cutZone >= NO_ZONE && cutZone < plan.zones(),
-                "the zones are 0 to " + (plan.zones() - 1) + ", not " + cutZone);
+                disturbances.outageSeconds() <= seconds,
+                "an outage is not longer than the run: " + disturbances.outageSeconds());
+        require(
+                disturbances.cutZone() >= NONE && disturbances.cutZone() < plan.zones(),
+                "the zones are 0 to " + (plan.zones() - 1) + ", not " + disturbances.cutZone());
+        require(
+                disturbances.cutRegion() >= NONE && disturbances.cutRegion() < plan.regions(),
+                "the regions are 0 to " + (plan.regions() - 1) + ", not " + disturbances.cutRegion());
+        require(
+                disturbances.regionCutSeconds() <= MOST_REGION_CUT * seconds,
+                "a region is cut off for half of the run at most, not " + disturbances.regionCutSeconds() + " s");
         require(destinationsKept >= 0, "destinations kept are not negative: " + destinationsKept);
         require(backlogPerCourier >= 0, "a backlog is not negative: " + backlogPerCourier);
     }
 
-    private static void require(final boolean kept, final String problem) {
-        if (!kept) {
-            throw new IllegalArgumentException(problem);
-        }
-    }
-
     /** Messages handed in a second at one courier. */
     double eventsPerSecondAndCourier() {
         return eventsPerSecond / plan.couriers();
--- a/src/main/java/driftchute/scale/fleet/FleetRun.java
+++ b/src/main/java/driftchute/scale/fleet/FleetRun.java
@@ -39,6 +39,8 @@
     private final EventQueue scenario = new EventQueue(START_US);
 
     private final Destinations destinations;
+    private final ControlUplink uplink;
+    private final RegionCut regionCut;
     private final Discovery discovery;
     private final List<HollowCourier> couriers = new ArrayList<>();
     private long callNumber;
@@ -52,15 +54,21 @@
         this.parameters = parameters;
         this.threads = threads;
         this.loss = loss;
-        final long arrivalsEndUs = START_US + Units.us(parameters.seconds());
+        final long scenarioUs = START_US + Units.us(parameters.settleSeconds());
+        final long arrivalsEndUs = scenarioUs + Units.us(parameters.seconds());
         this.endUs = arrivalsEndUs + DRAIN_US;
         this.destinations = new Destinations(parameters, atDestinations);
+        final SurroundingsModel.Control control = parameters.model().control();
+        this.uplink = new ControlUplink(control.machines(), control.megabytesPerSecond(), START_US);
+        this.regionCut =
+                new RegionCut(parameters.plan(), parameters.disturbances().cutRegion());
         this.discovery = new Discovery(listedEndpoints(), parameters.plan().seed());
         for (int index = 0; index < parameters.plan().couriers(); index++) {
             final Path listFolder = parameters.storedList() ? folder.resolve("courier-" + index) : null;
-            couriers.add(new HollowCourier(index, parameters, discovery, listFolder, START_US, arrivalsEndUs, endUs));
+            couriers.add(new HollowCourier(
+                    index, parameters, discovery, regionCut, listFolder, START_US, arrivalsEndUs, endUs));
         }
-        new Scenario(parameters, scenario, discovery, couriers, START_US).schedule();
+        new Scenario(parameters, scenario, discovery, regionCut, couriers, scenarioUs).schedule();
     }
 
     /** The plan's list, where a destination's share tells its limit. */
@@ -89,6 +97,7 @@
             for (long fromUs = START_US; fromUs < endUs; fromUs += SLICE_US) {
                 scenario.runUntil(fromUs + SLICE_US);
                 stepper.runUntil(fromUs + SLICE_US);
+                sendLists(fromUs + SLICE_US);
                 answerCalls();
                 atDestinations.runUntil(fromUs + SLICE_US);
                 if ((fromUs - START_US) % PROGRESS_US == 0) {
@@ -97,20 +106,29 @@
             }
         }
         destinations.close();
-        return FleetFigures.of(parameters, seconds(endUs - START_US), discovery, destinations, couriers);
+        return FleetFigures.of(parameters, seconds(endUs - START_US), discovery, uplink, destinations, couriers);
     }
 
     private static double seconds(final long us) {
         return (double) us / Units.US_PER_SECOND;
     }
 
+    private void sendLists(final long untilUs) {
+        final List<ControlUplink.Transfer> requested = new ArrayList<>();
+        couriers.forEach(courier -> requested.addAll(courier.takeTransfers()));
+        uplink.runUntil(untilUs, requested);
+    }
+
     private void answerCalls() {
         final List<AttemptCall> calls = new ArrayList<>();
         couriers.forEach(courier -> calls.addAll(courier.takeCalls()));
         calls.sort(BY_TIME);
         for (final AttemptCall call : calls) {
             atDestinations.runUntil(call.atUs());
-            final Destinations.Answer answer = destinations.answer(call);
+            final String from = couriers.get(call.courier()).zoneName();
+            final Destinations.Answer answer = regionCut.separates(from, call.endpointZone())
+                    ? destinations.unreachable(call)
+                    : destinations.answer(call);
             if (!loss.loses(callNumber++)) {
                 couriers.get(call.courier()).answered(call, answer);
             }
--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -31,11 +31,13 @@
     private final Courier.Settings settings;
     private final EventQueue events;
     private final Discovery discovery;
+    private final RegionCut regionCut;
     private final Random traffic;
     private final Random pauses;
     private final long arrivalsEndUs;
     private final Map<String, OpenMessage> open = new LinkedHashMap<>();
     private final List<AttemptCall> calls = new ArrayList<>();
+    private final List<ControlUplink.Transfer> transfers = new ArrayList<>();
     private final BitSet contacted = new BitSet();
     private final CourierFigures figures;
 
@@ -51,12 +53,16 @@
     private boolean running, ready;
     private long processStartUs;
     private long readyAtUs;
+    /** Since when the control machines can be reached. */
+    private long controlSinceUs;
+
     private long messagesMade, callsMade;
 
     HollowCourier(
             final int index,
             final FleetParameters parameters,
             final Discovery discovery,
+            final RegionCut regionCut,
             final Path listFolder,
             final long startUs,
             final long arrivalsEndUs,
@@ -65,6 +71,7 @@
         this.index = index;
         this.parameters = parameters;
         this.discovery = discovery;
+        this.regionCut = regionCut;
         this.listFolder = listFolder;
         this.arrivalsEndUs = arrivalsEndUs;
         this.settings = CourierSettings.of(parameters, zoneName());
@@ -74,7 +81,7 @@
         this.figures = new CourierFigures(startUs, endUs);
     }
 
-    private String zoneName() {
+    String zoneName() {
         return parameters.plan().zoneName(zone());
     }
 
@@ -106,6 +113,8 @@
                 figures.fetches,
                 pauses,
                 parameters.model(),
+                this::download,
+                () -> regionCut.cutsOffControl(zoneName()),
                 first,
                 list.version(),
                 this::onLine);
@@ -149,6 +158,44 @@
         watch.begin();
     }
 
+    private ControlUplink.Transfer download(final long bytes, final ControlUplink.Completion completion) {
+        final ControlUplink.Transfer transfer = new ControlUplink.Transfer(events.nowUs(), index, bytes, completion);
+        transfers.add(transfer);
+        return transfer;
+    }
+
+    /** The transfers that were requested since this was last asked. */
+    List<ControlUplink.Transfer> takeTransfers() {
+        final List<ControlUplink.Transfer> taken = List.copyOf(transfers);
+        transfers.clear();
+        return taken;
+    }
+
+    /** The control machines can be reached again: what was told meanwhile counts from now. */
+    void controlReachable() {
+        controlSinceUs = events.nowUs();
+    }
+
+    /** Kills the process, and another one starts in its place with an empty folder. */
+    void replace() {
+        if (running) {
+            restart();
+            figures.messages.lostWithFolder += open.size();
+            open.clear();
+            if (listFolder != null) {
+                deleteStoredList();
+            }
+        }
+    }
+
+    private void deleteStoredList() {
+        try {
+            CourierList.deleteIn(listFolder);
+        } catch (final IOException e) {
+            throw new UncheckedIOException("the folder of courier " + index + " cannot be emptied", e);
+        }
+    }
+
     /** Kills the process; the next one starts after a while and finds what the journal and the stored list hold. */
     void restart() {
         if (!running) {
@@ -213,7 +260,8 @@
         } else {
             becomeReady();
         }
-        figures.inForce(discovery.madeBetween(before, list.version()), processStartUs, events.nowUs());
+        final long reachableUs = Math.max(processStartUs, controlSinceUs);
+        figures.inForce(discovery.madeBetween(before, list.version()), reachableUs, events.nowUs());
     }
 
     private List<Courier.Endpoint> readList(final byte[] line) {
@@ -338,6 +386,7 @@
                 sent.attempts,
                 sent.message.destination(),
                 endpoint,
+                list.endpoint(endpoint).zone(),
                 timeoutUs));
     }
 
--- a/src/main/java/driftchute/scale/fleet/ListWatch.java
+++ b/src/main/java/driftchute/scale/fleet/ListWatch.java
@@ -1,6 +1,7 @@
 package driftchute.scale.fleet;
 
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -13,6 +14,13 @@
         long wholeAtFirstStart, wholeAtRestart, wholeLater, changeLines, watches;
     }
 
+    /** Asks the control machines for a line of the list. */
+    @FunctionalInterface
+    interface Downloads {
+        /** So many bytes are wanted; the completion is told, between two slices, when they have been sent. */
+        ControlUplink.Transfer request(long bytes, ControlUplink.Completion completion);
+    }
+
     /** These are the pauses of the real courier ({@code driftchute.node.Discovery}). */
     private static final long SILENT_US = 3_000 * Units.US_PER_MS;
 
@@ -23,6 +31,7 @@
     private static final int MOST_DOUBLINGS = 2;
 
     private static final long EMPTY_LINE_EVERY_US = 2_000 * Units.US_PER_MS;
+    private static final double BYTES_PER_MB = 1e6;
     private static final long AGENT_ANSWERS_US = Units.US_PER_MS;
 
     private final EventQueue events;
@@ -31,6 +40,10 @@
     private final Fetches fetches;
     private final Random random;
     private final SurroundingsModel model;
+    private final Downloads downloads;
+    /** Whether the control machines cannot be reached. */
+    private final BooleanSupplier cutOff;
+
     private final boolean firstStart;
     private final Consumer<byte[]> lines;
 
@@ -39,6 +52,9 @@
     private int connection;
 
     private boolean standing, connectionSilent, reading;
+    /** What is being read, or was last. */
+    private ControlUplink.Transfer download;
+
     private long version;
     private long lastWordUs;
     private int barren;
@@ -51,6 +67,8 @@
             final Fetches fetches,
             final Random random,
             final SurroundingsModel model,
+            final Downloads downloads,
+            final BooleanSupplier cutOff,
             final boolean firstStart,
             final long version,
             final Consumer<byte[]> lines) {
@@ -60,6 +78,8 @@
         this.fetches = fetches;
         this.random = random;
         this.model = model;
+        this.downloads = downloads;
+        this.cutOff = cutOff;
         this.firstStart = firstStart;
         this.version = version;
         this.lines = lines;
@@ -81,7 +101,15 @@
     /** The process has ended. */
     void close() {
         closed = true;
+        endConnection();
+    }
+
+    private void endConnection() {
         connection++;
+        if (download != null) {
+            download.abandon();
+            download = null;
+        }
     }
 
     /** The connection stays open and says nothing any more. */
@@ -91,7 +119,7 @@
 
     /** The connection ends; another is begun after a pause. */
     void breakOff() {
-        connection++;
+        endConnection();
         standing = false;
         final long pauseUs = Math.min(AGAIN_MOST_US, AGAIN_US << Math.min(barren++, MOST_DOUBLINGS));
         final long drawnUs = (long) (pauseUs * (1 + AGAIN_JITTER * random.nextDouble()));
@@ -112,15 +140,17 @@
 
     private void onConnection(final long delayUs, final Runnable action) {
         final int number = connection;
-        events.after(delayUs, () -> {
-            if (number == connection && !closed) {
-                action.run();
-            }
-        });
+        events.after(delayUs, () -> runOnConnection(number, action));
+    }
+
+    private void runOnConnection(final int number, final Runnable action) {
+        if (number == connection && !closed) {
+            action.run();
+        }
     }
 
     private boolean unheard() {
-        return discovery.silent() || connectionSilent;
+        return discovery.silent() || connectionSilent || cutOff.getAsBoolean();
     }
 
     private void answer() {
@@ -170,10 +200,16 @@
         final boolean whole = discovery.isWholeAfter(version);
         final byte[] line = discovery.lineAfter(version);
         final long told = discovery.version();
-        count(whole, line.length + ControlTraffic.CHUNK_BYTES);
+        final long bytes = line.length + ControlTraffic.CHUNK_BYTES;
+        count(whole, bytes);
         reading = true;
-        final double readSeconds = line.length / (model.listMegabytesPerSecond() * 1_000_000);
-        onConnection(Units.us(readSeconds), () -> read(line, told));
+        final double readSeconds = line.length / (model.listMegabytesPerSecond() * BYTES_PER_MB);
+        final long readUs = events.nowUs() + Units.us(readSeconds);
+        final int number = connection;
+        download = downloads.request(
+                bytes,
+                sentUs -> events.atOrNext(
+                        Math.max(sentUs, readUs), () -> runOnConnection(number, () -> read(line, told))));
     }
 
     private void count(final boolean whole, final long bytes) {
--- a/src/main/java/driftchute/scale/fleet/MessageCounts.java
+++ b/src/main/java/driftchute/scale/fleet/MessageCounts.java
@@ -3,6 +3,9 @@
 /** What became of messages; the counts of couriers can be added up. */
 final class MessageCounts {
     long taken, delivered, refused, failed, givenUp, late, endedTwice;
+    /** Held by a courier whose folder was lost; the platform hands them to others. */
+    long lostWithFolder;
+
     /** Attempts, and deliveries that a destination made but whose courier had stopped waiting or was killed. */
     long attempts, deliveriesUnheard;
 
@@ -14,12 +17,13 @@
         givenUp += other.givenUp;
         late += other.late;
         endedTwice += other.endedTwice;
+        lostWithFolder += other.lostWithFolder;
         attempts += other.attempts;
         deliveriesUnheard += other.deliveriesUnheard;
     }
 
-    /** Messages that have had their end. */
+    /** Messages that this fleet owes nothing any more. */
     long ended() {
-        return delivered + refused + failed;
+        return delivered + refused + failed + lostWithFolder;
     }
 }
--- a/src/main/java/driftchute/scale/fleet/Scenario.java
+++ b/src/main/java/driftchute/scale/fleet/Scenario.java
@@ -12,10 +12,12 @@
     private static final double OUTAGE_AT = 0.35;
     private static final double SILENT_WATCHES_AT = 0.55;
     private static final double ZONE_CUT_AT = 0.7;
+    private static final double REGION_CUT_AT = 0.25;
 
     private final FleetParameters parameters;
     private final EventQueue events;
     private final Discovery discovery;
+    private final RegionCut regionCut;
     private final List<HollowCourier> couriers;
     private final long startUs;
     private final long lengthUs;
@@ -25,11 +27,13 @@
             final FleetParameters parameters,
             final EventQueue events,
             final Discovery discovery,
+            final RegionCut regionCut,
             final List<HollowCourier> couriers,
             final long startUs) {
         this.parameters = parameters;
         this.events = events;
         this.discovery = discovery;
+        this.regionCut = regionCut;
         this.couriers = couriers;
         this.startUs = startUs;
         this.lengthUs = Units.us(parameters.seconds());
@@ -42,6 +46,7 @@
         scheduleOutage();
         scheduleSilentWatches();
         scheduleZoneCut();
+        scheduleRegionCut();
     }
 
     private void at(final double share, final Runnable action) {
@@ -66,8 +71,9 @@
     }
 
     private void scheduleRestarts() {
-        for (int number = 0; number < parameters.restarts(); number++) {
-            final double part = (number + random.nextDouble()) / parameters.restarts();
+        for (int number = 0; number < parameters.disturbances().restarts(); number++) {
+            final double part =
+                    (number + random.nextDouble()) / parameters.disturbances().restarts();
             final HollowCourier courier = couriers.get(random.nextInt(couriers.size()));
             at(RESTARTS_FROM + (RESTARTS_TO - RESTARTS_FROM) * part, () -> restart(courier));
         }
@@ -78,10 +84,10 @@
     }
 
     private void scheduleOutage() {
-        if (parameters.outageSeconds() > 0) {
+        if (parameters.disturbances().outageSeconds() > 0) {
             at(OUTAGE_AT, () -> {
                 discovery.silence(true);
-                events.after(Units.us(parameters.outageSeconds()), this::endOutage);
+                events.after(Units.us(parameters.disturbances().outageSeconds()), this::endOutage);
             });
         }
     }
@@ -92,7 +98,7 @@
     }
 
     private void scheduleSilentWatches() {
-        final int silent = (int) Math.round(parameters.silentWatches() * couriers.size());
+        final int silent = (int) Math.round(parameters.disturbances().silentWatches() * couriers.size());
         at(
                 SILENT_WATCHES_AT,
                 () -> couriers.subList(0, silent)
@@ -101,20 +107,40 @@
     }
 
     private void scheduleZoneCut() {
-        if (parameters.cutZone() != FleetParameters.NO_ZONE) {
+        if (parameters.disturbances().cutZone() != Disturbances.NONE) {
             at(
                     ZONE_CUT_AT,
                     () -> couriers.stream()
-                            .filter(courier -> courier.zone() == parameters.cutZone())
+                            .filter(courier ->
+                                    courier.zone() == parameters.disturbances().cutZone())
                             .forEach(this::cut));
         }
     }
 
-    private void cut(final HollowCourier courier) {
-        if (parameters.cutMode() == FleetParameters.CutMode.RESTART) {
-            restart(courier);
-        } else {
-            courier.at(events.nowUs(), () -> courier.watch().breakOff());
+    private void scheduleRegionCut() {
+        if (parameters.disturbances().cutRegion() != Disturbances.NONE) {
+            at(REGION_CUT_AT, () -> {
+                regionCut.begin();
+                events.after(Units.us(parameters.disturbances().regionCutSeconds()), this::endRegionCut);
+            });
         }
     }
+
+    private void endRegionCut() {
+        final List<HollowCourier> cutOff = couriers.stream()
+                .filter(courier -> regionCut.cutsOffControl(courier.zoneName()))
+                .toList();
+        regionCut.end();
+        cutOff.forEach(courier -> courier.at(events.nowUs(), courier::controlReachable));
+    }
+
+    private void cut(final HollowCourier courier) {
+        final Runnable action =
+                switch (parameters.disturbances().cutMode()) {
+                    case RESTART -> courier::restart;
+                    case RECONNECT -> () -> courier.watch().breakOff();
+                    case REPLACE -> courier::replace;
+                };
+        courier.at(events.nowUs(), action);
+    }
 }
--- a/src/test/java/driftchute/scale/fleet/FleetRunTest.java
+++ b/src/test/java/driftchute/scale/fleet/FleetRunTest.java
@@ -1,9 +1,11 @@
 package driftchute.scale.fleet;
 
+import static driftchute.scale.fleet.Disturbances.NONE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import driftchute.scale.fleet.Disturbances.CutMode;
 import driftchute.scale.standin.FleetPlan;
 import java.nio.file.Path;
 import java.util.List;
@@ -17,24 +19,24 @@
     private static final int SECONDS = 30;
     private static final int CHANGES = 10;
     private static final int RESTARTS = 3;
+    private static final int ZONES = 9;
     private static final double CHANGES_PER_DAY = CHANGES * Units.SECONDS_PER_DAY / SECONDS;
 
+    private static final int REGION_CUT = 10;
+
     private static FleetParameters parameters(final long seed, final boolean storedList) {
-        return parameters(seed, storedList, RESTARTS, 0);
+        return parameters(seed, storedList, new Disturbances(RESTARTS, 8, 0.1, 0, CutMode.RESTART, NONE, 0));
     }
 
     private static FleetParameters parameters(
-            final long seed, final boolean storedList, final int restarts, final int cutZone) {
+            final long seed, final boolean storedList, final Disturbances disturbances) {
         return new FleetParameters(
-                new FleetPlan(COURIERS, DESTINATIONS, 1.7, 0.043, 3, 9, seed),
+                new FleetPlan(COURIERS, DESTINATIONS, 1.7, 0.043, 3, ZONES, seed),
                 200,
                 CHANGES_PER_DAY,
                 SECONDS,
-                restarts,
-                8,
-                0.1,
-                cutZone,
-                FleetParameters.CutMode.RESTART,
+                0,
+                disturbances,
                 5,
                 50,
                 storedList,
@@ -83,10 +85,33 @@
         assertEquals(0, with.value("couriers without the newest list at the end"));
     }
 
+    @Test
+    void aReplacedZoneFetchesItsListsAndWhatItHeldIsHandedOn(@TempDir final Path folder) throws InterruptedException {
+        final int zoneMembers = (COURIERS + ZONES - 1) / ZONES;
+        final Disturbances disturbances = new Disturbances(0, 0, 0, 0, CutMode.REPLACE, NONE, 0);
+        final FleetFigures figures = new FleetRun(parameters(1, true, disturbances), 1, folder).play((at, of) -> {});
+        assertEquals(List.of(), failedChecks(figures));
+        assertEquals(zoneMembers, figures.value("whole lists at restart"));
+        assertTrue(figures.value("messages lost with a folder") > 0);
+        assertEquals(0, figures.value("couriers without the newest list at the end"));
+    }
+
+    @Test
+    void aRegionThatWasCutOffHearsOnlyWhatItMissed() throws InterruptedException {
+        final Disturbances disturbances = new Disturbances(0, 0, 0, NONE, CutMode.RESTART, 1, REGION_CUT);
+        final FleetFigures figures = new FleetRun(parameters(1, false, disturbances), 1, null).play((at, of) -> {});
+        assertEquals(List.of(), failedChecks(figures));
+        assertTrue(figures.value("calls over a cut network") > 0);
+        assertEquals(0, figures.value("whole lists fetched again by one process"));
+        assertEquals(0, figures.value("couriers without the newest list at the end"));
+        assertTrue(figures.value("change in force: worst") < REGION_CUT, "a change counts from the end of the cut");
+    }
+
     @Test
     void aDroppedDeliveryIsFoundByTheSums() throws InterruptedException {
         // No courier is restarted: the next process would send the message again, and only the deliveries would tell.
-        final FleetParameters parameters = parameters(1, false, 0, FleetParameters.NO_ZONE);
+        final FleetParameters parameters =
+                parameters(1, false, new Disturbances(0, 8, 0.1, NONE, CutMode.RESTART, NONE, 0));
         final FleetFigures whole = new FleetRun(parameters, 1, null).play((at, of) -> {});
         final FleetFigures dropped =
                 new FleetRun(parameters, 1, null, callNumber -> callNumber == 1_000).play((at, of) -> {});
