AgentConnector: the watch and the notices open their connections in one place

Discovery and Notices each had the same bootstrap, the same connect time-out, the same check for a lack of descriptors and the same hop to the event loop. Behaviour stays as it is.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -6,13 +6,7 @@
 import driftchute.list.ListStore;
 import driftchute.list.StagedList;
 import driftchute.list.TableUpdate;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -33,7 +27,6 @@
 final class Discovery implements Courier.Directory, Watch.Owner {
     static final int SILENT_MS = Watch.SILENT_MS;
     static final int FIRST_WORD_MS = Watch.FIRST_WORD_MS;
-    private static final int CONNECT_MS = 1000;
     /** Different faults of the list that are said, at most. */
     private static final int MOST_FAULTS = 50;
     /** Share of the heap for a list that is under way, beside the one in force. */
@@ -49,6 +42,7 @@
     private final Config config;
     private final EventLoop loop;
     private final Host host;
+    private final AgentConnector connector;
     private final Map<String, Integer> kinds = new HashMap<>();
     private final long stagingBytes =
             (long) (STAGING_SHARE * Runtime.getRuntime().maxMemory());
@@ -73,6 +67,7 @@
         this.address = config.discovery();
         this.loop = loop;
         this.host = host;
+        this.connector = new AgentConnector(loop, host::shortOfDescriptors);
         this.retry = new RetryDelay(config.seed());
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kinds.size()));
         this.store = new ListStore(
@@ -249,26 +244,8 @@
         }
         final Watch fresh = new Watch(this, address.getHostString(), stagingBytes);
         watch = fresh;
-        final ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(final Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), fresh);
-                    }
-                })
-                .connect(address);
-        if (!connecting.channel().isRegistered()) {
-            host.shortOfDescriptors();
-        }
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                // With no descriptor left this is told on a thread of Netty's, not on the loop's.
-                loop.execute(fresh::lost);
-            }
-        });
+        // A watch that cannot be connected is lost like one that breaks.
+        connector.connect(address, () -> {}, fresh::lost, new HttpClientCodec(), fresh);
     }
 
     @Override
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -2,17 +2,11 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -37,7 +31,6 @@
  * is due; what is not confirmed is sent again until it is, since a notice about a message that is over does no harm.
  */
 final class Notices {
-    private static final int CONNECT_MS = 1000;
     /** The answer comes at once; a platform that is silent so long is asked again on another connection. */
     private static final int ANSWER_MS = 1000;
     /** How soon a request that failed is made again: a notice is due 300 ms after its message's time is up. */
@@ -51,6 +44,7 @@
     private InetSocketAddress address;
     private final EventLoop loop;
     private final Host host;
+    private final AgentConnector connector;
     private final ObjectMapper json = new ObjectMapper();
     private final Deque<Held> due = new ArrayDeque<>();
     /** What the request that is out tells; it is still owed. */
@@ -68,6 +62,7 @@
         this.address = address;
         this.loop = loop;
         this.host = host;
+        this.connector = new AgentConnector(loop, host::shortOfDescriptors);
     }
 
     /** The platform is elsewhere now: what is due goes there, and a request that is out has its answer first. */
@@ -115,37 +110,27 @@
     private void connect() {
         final Line fresh = new Line();
         final InetSocketAddress to = address;
-        final ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(final Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER_BYTES), fresh);
-                    }
-                })
-                .connect(to);
-        if (!connecting.channel().isRegistered()) {
-            host.shortOfDescriptors();
+        connector.connect(
+                to,
+                () -> connected(fresh, to),
+                this::again,
+                new HttpClientCodec(),
+                new HttpObjectAggregator(MOST_ANSWER_BYTES),
+                fresh);
+    }
+
+    private void connected(final Line fresh, final InetSocketAddress to) {
+        if (!to.equals(address)) {
+            fresh.context.close();
+            connect();
+            return;
+        }
+        line = fresh;
+        if (dropped) {
+            fresh.context.close();
+        } else {
+            fresh.post();
         }
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                // With no descriptor left this is told on a thread of Netty's, not on the loop's.
-                loop.execute(this::again);
-            } else if (!to.equals(address)) {
-                fresh.context.close();
-                connect();
-            } else {
-                line = fresh;
-                if (dropped) {
-                    fresh.context.close();
-                } else {
-                    fresh.post();
-                }
-            }
-        });
     }
 
     /** What was told and not confirmed is due again, ahead of the rest, after a moment. */
