Tests: one base class for those that start a courier, and FakeServer.ids

Nine classes built and closed their rig in the same lines, and four collected the ids of a fake server's calls. No test or assertion has changed; their count is the same in each class.

--- /dev/null
+++ b/src/test/java/driftchute/node/AbstractCourierProcessTest.java
@@ -0,0 +1,27 @@
+package driftchute.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What tests of a whole courier share: a fresh folder, and a rig in it that is closed after each test. */
+@Timeout(120)
+abstract class AbstractCourierProcessTest {
+    @TempDir
+    Path folder;
+
+    Rig rig;
+
+    @BeforeEach
+    final void buildRig() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    final void closeRig() throws IOException {
+        rig.close();
+    }
+}
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -14,39 +14,18 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Calls that meet a deadline, a window, a lack of descriptors or a client's going, in each order. */
-@Timeout(120)
-final class CallCrossingsTest {
+final class CallCrossingsTest extends AbstractCourierProcessTest {
     private static final long WINDOW_MS = 300;
     private static final long LIFE_US = 20_000_000;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
-    @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     /** A server that takes no connection up until it is told to: its queue is full. */
     private static final class Late implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
--- a/src/test/java/driftchute/node/FakeServer.java
+++ b/src/test/java/driftchute/node/FakeServer.java
@@ -54,6 +54,11 @@
         script = next;
     }
 
+    /** The messages of all calls so far, in their order. */
+    List<String> ids() {
+        return requests.stream().flatMap(request -> request.ids().stream()).toList();
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
--- a/src/test/java/driftchute/node/HandoverTest.java
+++ b/src/test/java/driftchute/node/HandoverTest.java
@@ -18,38 +18,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** A process that takes over from one that still runs: to clients and endpoints the two are one courier. */
-@Timeout(120)
-final class HandoverTest {
+final class HandoverTest extends AbstractCourierProcessTest {
     private static final long STOP_LIMIT_MS = 3700;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
-    @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
-    private static List<String> idsAt(final FakeServer server) {
-        return server.requests.stream()
-                .flatMap(request -> request.ids().stream())
-                .toList();
-    }
-
     private static void silentTo(final FakeServer server, final String id) {
         server.script((request, connection) -> {
             if (!request.ids().contains(id)) {
@@ -68,11 +42,11 @@
         rig.replace(old, false);
         assertEquals(202, rig.send(Rig.inTurn("m2", "k")).status());
         assertEquals(202, rig.handIn("m3", "safe").status());
-        rig.await("another one's call", () -> idsAt(rig.first).contains("m3"));
-        assertEquals(List.of("m1", "m3"), idsAt(rig.first), "the key is taken");
+        rig.await("another one's call", () -> rig.first.ids().contains("m3"));
+        assertEquals(List.of("m1", "m3"), rig.first.ids(), "the key is taken");
         rig.first.requests.get(0).connection().answer(200, "");
-        rig.await("its turn", () -> idsAt(rig.first).contains("m2"));
-        assertEquals(1, idsAt(rig.first).stream().filter("m1"::equals).count());
+        rig.await("its turn", () -> rig.first.ids().contains("m2"));
+        assertEquals(1, rig.first.ids().stream().filter("m1"::equals).count());
         assertTrue(old.waitFor(STOP_LIMIT_MS, TimeUnit.MILLISECONDS), "with nothing out, the old one ends");
         assertTrue(rig.notices.isEmpty(), rig.notices.toString());
     }
@@ -88,8 +62,8 @@
         rig.first.script((request, connection) -> connection.accept(request));
         rig.replace(old, true);
         rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
-        rig.await("the safe one's second call", () -> idsAt(rig.first).size() == 3);
-        assertEquals(List.of("m1", "m2", "m2"), idsAt(rig.first));
+        rig.await("the safe one's second call", () -> rig.first.ids().size() == 3);
+        assertEquals(List.of("m1", "m2", "m2"), rig.first.ids());
     }
 
     @Test
@@ -112,8 +86,8 @@
         rig.awaitFigure("results.safe.succeeded", 1);
         rig.killAndRestart();
         assertEquals(202, rig.handIn("m3", "safe").status());
-        rig.await("m3", () -> idsAt(rig.first).contains("m3"));
-        assertEquals(List.of("m1", "m2", "m2", "m3"), idsAt(rig.first), "a third process knows all of it");
+        rig.await("m3", () -> rig.first.ids().contains("m3"));
+        assertEquals(List.of("m1", "m2", "m2", "m3"), rig.first.ids(), "a third process knows all of it");
     }
 
     @Test
@@ -144,8 +118,8 @@
         assertTrue(late.head().contains("connection: close"), "and the client is sent to the new one");
         assertEquals(202, rig.send(Rig.inTurn("m3", "k")).status());
         rig.first.requests.get(0).connection().answer(200, "");
-        rig.await("all of them", () -> idsAt(rig.first).size() == 3);
-        assertEquals(List.of("m1", "m2", "m3"), idsAt(rig.first), "in the order taken, by whichever process");
+        rig.await("all of them", () -> rig.first.ids().size() == 3);
+        assertEquals(List.of("m1", "m2", "m3"), rig.first.ids(), "in the order taken, by whichever process");
     }
 
     @Test
--- a/src/test/java/driftchute/node/MemoryCrossingsTest.java
+++ b/src/test/java/driftchute/node/MemoryCrossingsTest.java
@@ -6,29 +6,18 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** A courier that is handed in more than its heap holds, with every other limit wide. */
-@Timeout(120)
-final class MemoryCrossingsTest {
+final class MemoryCrossingsTest extends AbstractCourierProcessTest {
     private static final int HEAP_MB = 40;
     private static final int BODY_BYTES = 60_000;
     /** Three times what the heap could hold at the most. */
     private static final int HANDED_IN = 3 * HEAP_MB * (1 << 20) / BODY_BYTES;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
     @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
+    void configure() throws IOException {
         rig.heap = "-Xmx" + HEAP_MB + "m";
         rig.maxOpen = 1_000_000;
         rig.diskMb = 1000;
@@ -37,11 +26,6 @@
         rig.hosts = Rig.host("e0", shut, "Ready");
     }
 
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     private static String message(final int index) {
         return Rig.message("m" + index, "safe", "x".repeat(BODY_BYTES));
     }
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -10,46 +10,19 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The real courier over loopback sockets: what the protocol promises, and what goes wrong on a network. */
-@Timeout(120)
-final class NodeTest {
+final class NodeTest extends AbstractCourierProcessTest {
     private static final long STOP_LIMIT_MS = 3700;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
-    @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
-    private static List<String> idsAt(final FakeServer server) {
-        return server.requests.stream()
-                .flatMap(request -> request.ids().stream())
-                .toList();
-    }
-
     @Test
     void takesAMessageOnAndDeliversItUnchanged() throws IOException {
         rig.start();
@@ -78,7 +51,7 @@
         rig.first.script((request, connection) -> connection.accept(request));
         rig.killAndRestart();
         rig.await("the second call", () -> rig.first.requests.size() == 2);
-        assertEquals(List.of("m1", "m1"), idsAt(rig.first));
+        assertEquals(List.of("m1", "m1"), rig.first.ids());
         // Another call on the same connection shows that the answer to the second one has been read.
         final FakeServer.Connection used = rig.first.requests.get(1).connection();
         for (int count = 0;
@@ -89,12 +62,12 @@
                 count++) {
             final String id = "more" + count;
             assertEquals(202, rig.handIn(id, "safe").status());
-            rig.await(id, () -> idsAt(rig.first).contains(id));
+            rig.await(id, () -> rig.first.ids().contains(id));
         }
         rig.killAndRestart();
         assertEquals(202, rig.handIn("last", "safe").status());
-        rig.await("the last message", () -> idsAt(rig.first).contains("last"));
-        assertEquals(2, idsAt(rig.first).stream().filter("m1"::equals).count(), "delivered, it does not go again");
+        rig.await("the last message", () -> rig.first.ids().contains("last"));
+        assertEquals(2, rig.first.ids().stream().filter("m1"::equals).count(), "delivered, it does not go again");
     }
 
     @Test
@@ -121,7 +94,7 @@
         rig.first.script((request, connection) -> connection.accept(request));
         rig.killAndRestart();
         rig.await("the second call", () -> rig.first.requests.size() == 2);
-        assertEquals(List.of("m1", "m1"), idsAt(rig.first));
+        assertEquals(List.of("m1", "m1"), rig.first.ids());
     }
 
     @Test
@@ -193,7 +166,7 @@
         rig.start();
         rig.await(
                 "what was held goes on",
-                () -> idsAt(rig.first).stream()
+                () -> rig.first.ids().stream()
                         .skip(before)
                         .collect(Collectors.toSet())
                         .containsAll(List.of("m1", "m2")));
@@ -216,7 +189,7 @@
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the second attempt", () -> closedBefore.size() == 1);
-        assertEquals(List.of("m1", "m1"), idsAt(rig.first));
+        assertEquals(List.of("m1", "m1"), rig.first.ids());
     }
 
     @Test
@@ -254,7 +227,7 @@
         rig.await("the call", () -> rig.first.requests.size() == 1);
         rig.first.script((request, connection) -> connection.accept(request));
         assertEquals(202, rig.handIn("m2", "safe").status());
-        rig.await("the next", () -> idsAt(rig.first).contains("m2"));
+        rig.await("the next", () -> rig.first.ids().contains("m2"));
         assertEquals(2, rig.first.requests.size());
     }
 
@@ -282,7 +255,7 @@
             rig.await("call " + calls, () -> rig.first.requests.size() == calls);
         }
         assertEquals(202, rig.handIn("last", "once").status());
-        rig.await("the last", () -> idsAt(rig.first).contains("last"));
+        rig.await("the last", () -> rig.first.ids().contains("last"));
         assertEquals(rests.size() + 1, rig.first.requests.size(), "none goes again");
         assertTrue(rig.notices.isEmpty(), "none has failed: " + rig.notices);
     }
@@ -314,7 +287,7 @@
                 202,
                 rig.send(Rig.inTurn("m1", "team-1").replace("20000", "10000")).status());
         assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
-        rig.await("the next of its key", () -> idsAt(rig.first).contains("m2"));
+        rig.await("the next of its key", () -> rig.first.ids().contains("m2"));
         assertTrue(rig.notices.isEmpty(), "the first was delivered: " + rig.notices);
     }
 
@@ -328,7 +301,7 @@
         assertEquals(
                 202,
                 rig.send(Rig.inTurn("m2", "team-1").replace("20000", "5000")).status());
-        rig.await("the next of its key", () -> idsAt(rig.first).contains("m2"));
+        rig.await("the next of its key", () -> rig.first.ids().contains("m2"));
         assertTrue(rig.notices.isEmpty(), "the first was delivered: " + rig.notices);
     }
 
@@ -387,7 +360,7 @@
         final long toldNs = System.nanoTime();
         given.answer(429, "", "Retry-After: 1.5");
         assertEquals(202, rig.handIn("m2", "safe").status());
-        rig.await("what waited", () -> idsAt(rig.first).contains("m2"));
+        rig.await("what waited", () -> rig.first.ids().contains("m2"));
         final long tookMs =
                 TimeUnit.NANOSECONDS.toMillis(rig.first.requests.get(1).atNs() - toldNs);
         assertTrue(tookMs >= 1500, "sent after " + tookMs);
@@ -399,7 +372,7 @@
         // So that its class is known to be quick, and it would be sent again long before its time is up.
         for (final String id : List.of("q1", "q2", "q3")) {
             assertEquals(202, rig.handIn(id, "safe").status());
-            rig.await(id, () -> idsAt(rig.first).contains(id));
+            rig.await(id, () -> rig.first.ids().contains(id));
         }
         rig.first.script((request, connection) -> {
             if (request.ids().contains("wait")) {
@@ -407,7 +380,7 @@
             }
         });
         assertEquals(202, rig.handIn("wait", "brief").status());
-        rig.await("the wait", () -> idsAt(rig.first).contains("wait"));
+        rig.await("the wait", () -> rig.first.ids().contains("wait"));
         rig.first.script((request, connection) -> {});
         assertEquals(202, rig.handIn("long", "once").status());
         assertEquals(
@@ -415,10 +388,10 @@
                 rig.send(Rig.message("short", "safe").replace("20000", "6000")).status());
         rig.await("its notice", () -> rig.noticed("short", "deferred"));
         assertFalse(rig.noticed("long", "undeliverable"), "its call still goes on");
-        assertEquals(1, idsAt(rig.first).stream().filter("short"::equals).count());
+        assertEquals(1, rig.first.ids().stream().filter("short"::equals).count());
         assertTrue(
                 rig.first.requests.stream().anyMatch(request -> request.ids().containsAll(List.of("long", "short"))),
-                "the two went in one call: " + idsAt(rig.first));
+                "the two went in one call: " + rig.first.ids());
     }
 
     @Test
@@ -428,7 +401,7 @@
         // The two take the window, so that the next three wait and go together when it has room again.
         for (final String id : List.of("a", "b")) {
             assertEquals(202, rig.handIn(id, "once").status());
-            rig.await(id, () -> idsAt(rig.first).contains(id));
+            rig.await(id, () -> rig.first.ids().contains(id));
         }
         assertEquals(
                 202,
@@ -441,7 +414,7 @@
         for (final FakeServer.Request request : List.copyOf(rig.first.requests)) {
             request.connection().accept(request);
         }
-        rig.await("the shared call", () -> idsAt(rig.first).size() == 5);
+        rig.await("the shared call", () -> rig.first.ids().size() == 5);
         assertEquals(
                 List.of("long", "middle", "short"), rig.first.requests.get(2).ids());
     }
@@ -458,7 +431,7 @@
         // The two take the window, so that the next two wait and go together when it has room again.
         for (final String id : List.of("a", "b")) {
             assertEquals(202, rig.handIn(id, "once").status());
-            rig.await(id, () -> idsAt(rig.first).contains(id));
+            rig.await(id, () -> rig.first.ids().contains(id));
         }
         assertEquals(202, rig.handIn("long", "once").status());
         assertEquals(
@@ -472,9 +445,9 @@
                 .filter(request -> request.ids().containsAll(List.of("long", "m1")))
                 .findFirst()
                 .orElseThrow();
-        assertFalse(idsAt(rig.first).contains("m2"), "the first is still out");
+        assertFalse(rig.first.ids().contains("m2"), "the first is still out");
         shared.connection().accept(shared);
-        rig.await("its turn", () -> idsAt(rig.first).contains("m2"));
+        rig.await("its turn", () -> rig.first.ids().contains("m2"));
     }
 
     @Test
@@ -523,11 +496,11 @@
         assertEquals(202, rig.send(Rig.inTurn("m1", "team-1")).status());
         assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
         assertEquals(202, rig.send(Rig.inTurn("other", "team-2")).status());
-        rig.await("the other key's call", () -> idsAt(rig.first).contains("other"));
-        assertEquals(List.of("m1", "other"), idsAt(rig.first), "the second of a key waits for the first");
+        rig.await("the other key's call", () -> rig.first.ids().contains("other"));
+        assertEquals(List.of("m1", "other"), rig.first.ids(), "the second of a key waits for the first");
         rig.first.script((request, connection) -> connection.accept(request));
         rig.first.requests.get(0).connection().answer(200, "");
-        rig.await("the second of the key", () -> idsAt(rig.first).contains("m2"));
+        rig.await("the second of the key", () -> rig.first.ids().contains("m2"));
     }
 
     @Test
@@ -546,13 +519,13 @@
         rig.await("its notice", () -> rig.noticed("m1", "undeliverable"));
         assertEquals(202, rig.send(Rig.inTurn("m2", "team-1")).status());
         assertEquals(202, rig.send(Rig.inTurn("o1", "team-2")).status());
-        rig.await("the other key's call", () -> idsAt(rig.first).contains("o1"));
+        rig.await("the other key's call", () -> rig.first.ids().contains("o1"));
         rig.killAndRestart();
         assertEquals(202, rig.send(Rig.inTurn("o2", "team-3")).status());
-        rig.await("another key's call", () -> idsAt(rig.first).contains("o2"));
-        assertFalse(idsAt(rig.first).contains("m2"), "the message before it is not over");
+        rig.await("another key's call", () -> rig.first.ids().contains("o2"));
+        assertFalse(rig.first.ids().contains("m2"), "the message before it is not over");
         rig.noticeStatus = 204;
-        rig.await("the next of the key", () -> idsAt(rig.first).contains("m2"));
+        rig.await("the next of the key", () -> rig.first.ids().contains("m2"));
     }
 
     @Test
@@ -634,7 +607,7 @@
         final int before = rig.first.requests.size();
         rig.news = Rig.line(42, Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
         rig.start();
-        rig.await("what was held goes elsewhere", () -> idsAt(rig.second).containsAll(List.of("m0", "m1", "m2")));
+        rig.await("what was held goes elsewhere", () -> rig.second.ids().containsAll(List.of("m0", "m1", "m2")));
         assertEquals(before, rig.first.requests.size(), "nothing new went to the endpoint that drains: " + rig.log);
     }
 
@@ -644,7 +617,7 @@
         rig.news = "";
         rig.start();
         assertEquals(202, rig.handIn("m1", "safe").status());
-        rig.await("the call, by the list that was known", () -> idsAt(rig.first).contains("m1"));
+        rig.await("the call, by the list that was known", () -> rig.first.ids().contains("m1"));
     }
 
     /** What is done while an endpoint takes no connection up, and tells nobody. */
@@ -683,7 +656,7 @@
             rig.change(42, Rig.host("e1", address, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
             rig.await(
                     "a call elsewhere, long before the connection gives up",
-                    () -> idsAt(rig.second).contains("m1"));
+                    () -> rig.second.ids().contains("m1"));
         });
     }
 
@@ -833,7 +806,7 @@
         }
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the good one", () -> rig.first.requests.size() == 1);
-        assertEquals(List.of("m1"), idsAt(rig.first));
+        assertEquals(List.of("m1"), rig.first.ids());
         assertTrue(rig.notices.isEmpty());
     }
 
@@ -864,7 +837,7 @@
         assertEquals(-1, asker.getInputStream().read(), "nor for one that only asked whether we are up");
         silent.close();
         asker.close();
-        rig.await("the good one", () -> idsAt(rig.first).equals(List.of("m1")));
+        rig.await("the good one", () -> rig.first.ids().equals(List.of("m1")));
     }
 
     @Test
@@ -1067,7 +1040,7 @@
             assertEquals(202, Rig.send(socket, Rig.message("m0", "safe")).status());
             final long apartMs = sendSlowly(socket, Rig.message("m1", "once"), 900);
             assertEquals(202, Rig.read(socket.getInputStream()).status());
-            rig.await("the call", () -> idsAt(rig.first).contains("m1"));
+            rig.await("the call", () -> rig.first.ids().contains("m1"));
             final FakeServer.Request call = rig.first.requests.stream()
                     .filter(one -> one.ids().contains("m1"))
                     .findFirst()
--- a/src/test/java/driftchute/node/OperatorsTest.java
+++ b/src/test/java/driftchute/node/OperatorsTest.java
@@ -7,37 +7,21 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What operators can call for at the second address, and what it does to the service. */
-@Timeout(120)
-final class OperatorsTest {
+final class OperatorsTest extends AbstractCourierProcessTest {
     private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
     @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
+    void configure() {
         rig.mgmt = true;
     }
 
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     @Test
     void eachCallHasOneAnswerAndUnknownOnesANo() throws IOException {
         rig.start();
--- a/src/test/java/driftchute/node/ShutdownCrossingsTest.java
+++ b/src/test/java/driftchute/node/ShutdownCrossingsTest.java
@@ -8,48 +8,21 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** SIGTERM and a client's bytes, in each order: every request is answered, or was never taken on; no answer is lost. */
-@Timeout(120)
-final class ShutdownCrossingsTest {
+final class ShutdownCrossingsTest extends AbstractCourierProcessTest {
     /** Longer than the process listens after SIGTERM. */
     private static final long LISTENS_MS = 700;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
-    @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     private static void write(final Socket socket, final String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
-    private List<String> delivered() {
-        return rig.first.requests.stream()
-                .flatMap(request -> request.ids().stream())
-                .toList();
-    }
-
     /** Sends SIGTERM, and waits until it has had its effect: a client that asked nothing is sent away. */
     private Process terminate() throws IOException {
         try (Socket idle = rig.connect()) {
@@ -94,8 +67,8 @@
             assertTrue(ending.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
         }
         rig.start();
-        rig.await("its delivery, by either process", () -> delivered().contains("m1"));
-        assertEquals(List.of("m1"), delivered());
+        rig.await("its delivery, by either process", () -> rig.first.ids().contains("m1"));
+        assertEquals(List.of("m1"), rig.first.ids());
     }
 
     @Test
@@ -134,8 +107,8 @@
         }
         assertTrue(ending.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
         rig.start();
-        rig.await("all three, by either process", () -> delivered().containsAll(List.of("m1", "m2", "m3")));
-        assertEquals(3, delivered().size());
+        rig.await("all three, by either process", () -> rig.first.ids().containsAll(List.of("m1", "m2", "m3")));
+        assertEquals(3, rig.first.ids().size());
     }
 
     @Test
@@ -152,7 +125,7 @@
             assertEquals(202, Rig.read(socket.getInputStream()).status());
             assertEquals(-1, socket.getInputStream().read());
         }
-        rig.await("the call", () -> delivered().contains("m1"));
+        rig.await("the call", () -> rig.first.ids().contains("m1"));
     }
 
     /** The program sets it nowhere: each of its sockets, made or accepted, is one of these. */
@@ -177,8 +150,8 @@
         assertEquals(202, rig.handIn("again", "safe").status(), "the client sends it once more on a new connection");
         assertTrue(ending.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
         rig.start();
-        rig.await("the repeat", () -> delivered().contains("again"));
-        assertFalse(delivered().contains("crossed"));
+        rig.await("the repeat", () -> rig.first.ids().contains("again"));
+        assertFalse(rig.first.ids().contains("crossed"));
     }
 
     @Test
@@ -192,7 +165,7 @@
             rig.signal("CONT");
             assertEquals(202, Rig.read(resting.getInputStream()).status());
         }
-        rig.await("its delivery", () -> delivered().contains("m2"));
+        rig.await("its delivery", () -> rig.first.ids().contains("m2"));
     }
 
     @Test
@@ -229,7 +202,7 @@
             assertEquals(400, Rig.read(socket.getInputStream()).status());
             assertEquals(-1, socket.getInputStream().read());
         }
-        rig.await("the call", () -> delivered().contains("m1"));
+        rig.await("the call", () -> rig.first.ids().contains("m1"));
     }
 
     @Test
--- a/src/test/java/driftchute/node/StartCrossingsTest.java
+++ b/src/test/java/driftchute/node/StartCrossingsTest.java
@@ -4,43 +4,27 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** A start with much to take up: what is due at once, what was never tried, and a discovery that is silent. */
-@Timeout(120)
-final class StartCrossingsTest {
+final class StartCrossingsTest extends AbstractCourierProcessTest {
     private static final long READY_MS = 10_000;
     private static final long DISK_BYTES = 3_000_000;
     private static final int EACH = 300;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
-
     @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
+    void configure() {
         rig.maxOpen = 2 * EACH;
         rig.discovery = "pushed";
     }
 
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     /** Leaves messages as a process that was killed would: taken on, and never sent. */
     private void hold(final String prefix, final long leftMs) throws IOException {
         try (Journal journal = Journal.open(folder.resolve("state"), DISK_BYTES)) {
@@ -56,9 +40,7 @@
     }
 
     private Set<String> called() {
-        return rig.first.requests.stream()
-                .flatMap(request -> request.ids().stream())
-                .collect(Collectors.toSet());
+        return new HashSet<>(rig.first.ids());
     }
 
     @Test
--- a/src/test/java/driftchute/node/StoredListCrossingsTest.java
+++ b/src/test/java/driftchute/node/StoredListCrossingsTest.java
@@ -10,33 +10,19 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What a restart asks for, what a start waits for, and what spoilt lists change: nothing that was good. */
-@Timeout(120)
-final class StoredListCrossingsTest {
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
+final class StoredListCrossingsTest extends AbstractCourierProcessTest {
     /** The request lines of the watches. */
     private final List<String> asked = new CopyOnWriteArrayList<>();
 
     @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
+    void configure() {
         rig.discovery = "pushed";
     }
 
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     /** Plays the agent: each watch begins with the text at its place, the last one with all that follow. */
     private void agent(final String... texts) {
         rig.platform.script((request, connection) -> {
--- a/src/test/java/driftchute/node/WatchCrossingsTest.java
+++ b/src/test/java/driftchute/node/WatchCrossingsTest.java
@@ -4,41 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A list that stops sending, at each of its moments: what it misses counts as told 6 s later. */
-@Timeout(120)
-final class WatchCrossingsTest {
+final class WatchCrossingsTest extends AbstractCourierProcessTest {
     private static final long TOLD_MS = 6000;
     private static final long MOVED_MS = 4000;
 
-    @TempDir
-    private Path folder;
-
-    private Rig rig;
     /** When each watch was asked for. */
     private final List<Long> askedNs = new CopyOnWriteArrayList<>();
 
-    @BeforeEach
-    void build() throws IOException {
-        rig = new Rig(folder);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        rig.close();
-    }
-
     /** Plays the agent: the n-th watch is given to the n-th of these, the last one to all that follow. */
     @SafeVarargs
     private void agent(final java.util.function.Consumer<FakeServer.Connection>... watches) {
