Scale: HttpConnection and ListOptions in place of lines that stood twice

The two connections of the stand-ins share how they open, close and fail; real-list and real-changes share the options of their list.

--- a/src/main/java/driftchute/scale/real/ChangeScheduleCommand.java
+++ b/src/main/java/driftchute/scale/real/ChangeScheduleCommand.java
@@ -3,7 +3,6 @@
 import driftchute.scale.standin.ConnectionTraffic;
 import driftchute.scale.standin.DiscoveryServer;
 import driftchute.scale.standin.EndpointEntry;
-import driftchute.scale.standin.FleetPlan;
 import driftchute.scale.standin.ListHistory;
 import driftchute.scale.standin.LoopbackPorts;
 import java.io.IOException;
@@ -52,15 +51,12 @@
     @Mixin
     private CourierOptions options;
 
+    @Mixin
+    private ListOptions listOptions;
+
     @Option(names = "--destinations", defaultValue = "45000", description = "size (default: ${DEFAULT-VALUE})")
     private int destinations;
 
-    @Option(
-            names = "--endpoints-per-destination",
-            defaultValue = "1.7",
-            description = "endpoints of a destination on average (default: ${DEFAULT-VALUE})")
-    private double endpointsPerDestination;
-
     @Option(
             names = "--changes",
             defaultValue = "100",
@@ -73,22 +69,15 @@
             description = "time between two changes (default: ${DEFAULT-VALUE})")
     private double secondsBetweenChanges;
 
-    @Option(
-            names = "--disk-mb",
-            defaultValue = "7000",
-            description = "size of the folder that lasts (default: ${DEFAULT-VALUE})")
-    private int diskMb;
-
     @Override
     public Integer call() throws IOException {
         final List<EndpointEntry> list;
         check();
         try (Socket refusing = LoopbackPorts.refusing()) {
-            list = plan().endpoints((InetSocketAddress) refusing.getLocalSocketAddress());
+            list = listOptions.plan(destinations, options.seed()).endpoints((InetSocketAddress)
+                    refusing.getLocalSocketAddress());
             final ListHistory history = new ListHistory(list);
-            final CourierLimits usual = CourierLimits.DEFAULT;
-            final CourierLimits limits =
-                    new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen());
+            final CourierLimits limits = listOptions.limits(options.memoryMb());
             try (DiscoveryServer discovery = new DiscoveryServer(history);
                     RealCourier courier = options.courier("real-changes", options.configuration(discovery, limits))) {
                 final ChangeScheduleResult result = new Measurement(list, history, discovery, courier).run();
@@ -105,20 +94,11 @@
     private void check() {
         options.check(spec);
         CourierOptions.atLeast(spec, "--changes", changes, 1);
-        CourierOptions.atLeast(spec, "--disk-mb", diskMb, 1);
         if (!(secondsBetweenChanges > 0)) {
             throw new ParameterException(
                     spec.commandLine(), "--seconds-between-changes is above 0, not " + secondsBetweenChanges);
         }
-        try {
-            plan();
-        } catch (final IllegalArgumentException e) {
-            throw new ParameterException(spec.commandLine(), e.getMessage(), e);
-        }
-    }
-
-    private FleetPlan plan() {
-        return new FleetPlan(1, destinations, endpointsPerDestination, 0, 1, 1, options.seed());
+        listOptions.check(spec, destinations);
     }
 
     /** Bytes to and from discovery at one moment. */
--- a/src/main/java/driftchute/scale/real/ListSlopeCommand.java
+++ b/src/main/java/driftchute/scale/real/ListSlopeCommand.java
@@ -3,7 +3,6 @@
 import driftchute.scale.standin.ConnectionTraffic;
 import driftchute.scale.standin.DiscoveryServer;
 import driftchute.scale.standin.EndpointEntry;
-import driftchute.scale.standin.FleetPlan;
 import driftchute.scale.standin.ListHistory;
 import driftchute.scale.standin.LoopbackPorts;
 import java.io.IOException;
@@ -20,7 +19,6 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** Measures what the endpoint list costs one real courier, at several sizes of the list. */
@@ -49,6 +47,9 @@
     @Mixin
     private CourierOptions options;
 
+    @Mixin
+    private ListOptions listOptions;
+
     @Option(
             names = "--destinations",
             split = ",",
@@ -56,12 +57,6 @@
             description = "sizes to measure (default: ${DEFAULT-VALUE})")
     private int[] destinations;
 
-    @Option(
-            names = "--endpoints-per-destination",
-            defaultValue = "1.7",
-            description = "endpoints of a destination on average (default: ${DEFAULT-VALUE})")
-    private double endpointsPerDestination;
-
     @Option(
             names = "--idle-seconds",
             defaultValue = "20",
@@ -80,13 +75,6 @@
             description = "changes that are told before those that are measured (default: ${DEFAULT-VALUE})")
     private int warmUpChanges;
 
-    @Option(
-            names = "--disk-mb",
-            defaultValue = "7000",
-            description = "size of the folder that lasts, of which the copy of the list may take a part; the default is"
-                    + " what the target's backlog takes (default: ${DEFAULT-VALUE})")
-    private int diskMb;
-
     @Option(
             names = "--list-timeout-seconds",
             defaultValue = "36",
@@ -114,17 +102,10 @@
     private void check() {
         options.check(spec);
         CourierOptions.atLeast(spec, "--idle-seconds", idleSeconds, 1);
-        CourierOptions.atLeast(spec, "--disk-mb", diskMb, 1);
         CourierOptions.atLeast(spec, "--changes", changes, 1);
         CourierOptions.atLeast(spec, "--warm-up-changes", warmUpChanges, 0);
         CourierOptions.atLeast(spec, "--list-timeout-seconds", listTimeoutSeconds, 1);
-        for (final int size : destinations) {
-            try {
-                plan(size);
-            } catch (final IllegalArgumentException e) {
-                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
-            }
-        }
+        listOptions.check(spec, destinations);
     }
 
     /** After each size, so that a run that is cut short leaves what it has measured. */
@@ -134,7 +115,7 @@
                     options.output(),
                     new ListSlopeResult(
                             options.memoryMb(),
-                            endpointsPerDestination,
+                            listOptions.endpointsPerDestination(),
                             idleSeconds,
                             warmUpChanges,
                             changes,
@@ -143,10 +124,6 @@
         }
     }
 
-    private FleetPlan plan(final int size) {
-        return new FleetPlan(1, size, endpointsPerDestination, 0, 1, 1, options.seed());
-    }
-
     private void progress(final int size, final String what) {
         spec.commandLine().getErr().println(spec.name() + ": " + size + " destinations: " + what);
     }
@@ -154,20 +131,17 @@
     private ListSlopeResult.Row measure(final int size) throws IOException {
         try (Socket closed = LoopbackPorts.refusing()) {
             final InetSocketAddress dial = (InetSocketAddress) closed.getLocalSocketAddress();
-            final List<EndpointEntry> list = plan(size).endpoints(dial);
+            final List<EndpointEntry> list =
+                    listOptions.plan(size, options.seed()).endpoints(dial);
             final ListHistory history = new ListHistory(list);
             try (DiscoveryServer discovery = new DiscoveryServer(history);
-                    RealCourier courier = options.courier("real-list", options.configuration(discovery, limits()))) {
+                    RealCourier courier = options.courier(
+                            "real-list", options.configuration(discovery, listOptions.limits(options.memoryMb())))) {
                 return new Measurement(size, list, history, discovery, courier).run();
             }
         }
     }
 
-    private CourierLimits limits() {
-        final CourierLimits usual = CourierLimits.DEFAULT;
-        return new CourierLimits(options.memoryMb(), usual.sockets(), diskMb, usual.maxOpen());
-    }
-
     private static void pause(final Duration length) {
         try {
             Thread.sleep(length.toMillis());
--- a/src/main/java/driftchute/scale/standin/DestinationConnection.java
+++ b/src/main/java/driftchute/scale/standin/DestinationConnection.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -24,7 +23,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One connection of a courier to the destinations' stand-in; all of it runs on the server's event loop. */
-final class DestinationConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class DestinationConnection extends HttpConnection {
     private static final String ONE_PATH = "/inbox";
     private static final String MANY_PATH = "/inbox/bulk";
     private static final String ID_HEADER = "X-Request-ID";
@@ -32,7 +31,6 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final DestinationServer server;
-    private ChannelHandlerContext context;
     /** The call that is out, or null. */
     private InboxCall current;
 
@@ -41,28 +39,18 @@
     }
 
     @Override
-    public void channelActive(final ChannelHandlerContext ctx) {
-        context = ctx;
+    void opened() {
         server.opened(this);
     }
 
     @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
+    void closed() {
         server.closed(this);
         if (current != null) {
             current.giveUp();
         }
     }
 
-    @Override
-    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-        ctx.close();
-    }
-
-    void close() {
-        context.close();
-    }
-
     @Override
     protected void channelRead0(final ChannelHandlerContext ctx, final FullHttpRequest request) {
         final boolean readable = current == null
@@ -115,7 +103,8 @@
             answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "", 0);
         } else {
             server.checks()
-                    .arrived(destination, (InetSocketAddress) context.channel().localAddress(), server.nowNs());
+                    .arrived(
+                            destination, (InetSocketAddress) context().channel().localAddress(), server.nowNs());
             current = new InboxCall(destination, messages, together);
             current.admit();
         }
@@ -130,7 +119,7 @@
             response.headers()
                     .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", waitNs / NS_PER_SECOND));
         }
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        context().writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** One call with one message or several, until it is answered or given up. */
@@ -179,7 +168,7 @@
         public void run() {
             hasSlot = true;
             messages.subList(0, taken).forEach(server.checks()::runs);
-            context.executor().schedule(this::done, server.latencyNs(number), TimeUnit.NANOSECONDS);
+            context().executor().schedule(this::done, server.latencyNs(number), TimeUnit.NANOSECONDS);
         }
 
         private void done() {
--- a/src/main/java/driftchute/scale/standin/DiscoveryConnection.java
+++ b/src/main/java/driftchute/scale/standin/DiscoveryConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -24,7 +23,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One connection to the stand-in of discovery; all of it runs on the server's event loop. */
-final class DiscoveryConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class DiscoveryConnection extends HttpConnection {
     private static final String LIST_PATH = "/discovery/hosts";
     private static final String OUTCOMES_PATH = "/v1/outcomes";
     private static final byte[] EMPTY_LINE = {'\n'};
@@ -33,7 +32,6 @@
 
     private final DiscoveryServer server;
     private final TrafficCounter counter;
-    private ChannelHandlerContext context;
     /** A request for the list that waits until discovery is available, or null. */
     private QueryStringDecoder waiting;
 
@@ -55,28 +53,18 @@
     }
 
     @Override
-    public void channelActive(final ChannelHandlerContext ctx) {
-        context = ctx;
+    void opened() {
         server.opened(this);
     }
 
     @Override
-    public void channelInactive(final ChannelHandlerContext ctx) {
+    void closed() {
         server.closed(this);
         if (heartbeat != null) {
             heartbeat.cancel(false);
         }
     }
 
-    @Override
-    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
-        ctx.close();
-    }
-
-    void close() {
-        context.close();
-    }
-
     @Override
     protected void channelRead0(final ChannelHandlerContext ctx, final FullHttpRequest request) {
         final QueryStringDecoder target = new QueryStringDecoder(request.uri());
@@ -106,7 +94,7 @@
         if (!status.equals(HttpResponseStatus.NO_CONTENT)) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         }
-        context.writeAndFlush(response);
+        context().writeAndFlush(response);
     }
 
     /** Says what there is to say just now: the answer to a request, or what has changed. */
@@ -123,7 +111,7 @@
         if (watching
                 && !endless
                 && server.mode().tellsChanges()
-                && context.channel().isWritable()) {
+                && context().channel().isWritable()) {
             if (first) {
                 first = false;
                 tellFirst();
@@ -149,9 +137,9 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .set(HttpHeaderNames.CONTENT_LENGTH, list.readableBytes());
         counter.sentWholeList();
-        context.write(head);
+        context().write(head);
         writePieces(list);
-        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        context().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     private void beginWatch(final long after) {
@@ -162,13 +150,13 @@
         head.headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                 .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        context.writeAndFlush(head);
+        context().writeAndFlush(head);
         final long periodMs = server.heartbeat().toMillis();
-        heartbeat = context.executor().scheduleAtFixedRate(this::beat, periodMs, periodMs, TimeUnit.MILLISECONDS);
+        heartbeat = context().executor().scheduleAtFixedRate(this::beat, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
     private void beat() {
-        if (server.mode().tellsChanges() && !endless && context.channel().isWritable()) {
+        if (server.mode().tellsChanges() && !endless && context().channel().isWritable()) {
             write(Unpooled.wrappedBuffer(EMPTY_LINE));
         }
     }
@@ -181,7 +169,7 @@
                 final ByteBuf list = server.share(history.lineAfter(0));
                 counter.sentWholeList();
                 writePieces(list.writerIndex(list.readableBytes() / 2));
-                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             }
             case FIRST_LINE_NEVER_ENDS -> {
                 endless = true;
@@ -214,7 +202,7 @@
         version = reached;
         counter.sentWholeList();
         writePieces(Unpooled.wrappedBuffer(line));
-        context.flush();
+        context().flush();
     }
 
     private void tellChanges() {
@@ -227,12 +215,12 @@
             counter.sentChanges();
             writePieces(Unpooled.wrappedBuffer(update.line()));
         }
-        context.flush();
+        context().flush();
     }
 
     /** Writes entries of endpoints that do not exist for as long as the other side reads them. */
     private void writeEndless() {
-        while (context.channel().isWritable() && context.channel().isActive()) {
+        while (context().channel().isWritable() && context().channel().isActive()) {
             final StringBuilder entries = new StringBuilder(PIECE_BYTES);
             while (entries.length() < PIECE_BYTES) {
                 final long number = endlessEntries++;
@@ -259,13 +247,14 @@
     }
 
     private void write(final ByteBuf bytes) {
-        context.writeAndFlush(new DefaultHttpContent(bytes));
+        context().writeAndFlush(new DefaultHttpContent(bytes));
     }
 
     /** Writes a line, which it releases, without flushing it. */
     private void writePieces(final ByteBuf line) {
         while (line.isReadable()) {
-            context.write(new DefaultHttpContent(line.readRetainedSlice(Math.min(PIECE_BYTES, line.readableBytes()))));
+            context()
+                    .write(new DefaultHttpContent(line.readRetainedSlice(Math.min(PIECE_BYTES, line.readableBytes()))));
         }
         line.release();
     }
