--- a/src/main/java/driftchute/scale/slope/DecisionFixture.java
+++ b/src/main/java/driftchute/scale/slope/DecisionFixture.java
@@ -2,7 +2,9 @@
 
 import driftchute.Control;
 import driftchute.Courier;
+import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Queue;
 
 /**
  * The decision module with a list of the target's shape, on a clock that only the measurement moves. This is the one
@@ -13,13 +15,19 @@
     /** The target: 76,500 endpoints for 45,000 destinations. */
     static final double ENDPOINTS_PER_DESTINATION = 1.7;
 
-    private static final int COURIERS = 660;
+    /** Couriers of the target. */
+    static final int TARGET_COURIERS = 660;
+
     /** More than any size measured: nothing that was learned is forgotten for want of room. */
     private static final int DESTINATIONS_AT_REST = Integer.MAX_VALUE;
 
     private static final int SLOTS = 256;
     private static final long DAY_US = 24 * 3600 * SECOND_US;
     private static final long SEED = 7;
+    /** How often it is looked whether a call may be made. */
+    private static final long LOOK_US = SECOND_US / 4;
+    /** How long a call took, as it is told. */
+    private static final long CALL_US = SECOND_US / 50;
 
     private final CountingActions actions = new CountingActions();
     private final ListTable list;
@@ -30,9 +38,14 @@
 
     /** With so many destinations in its list, which it looks up in the courier's own table. */
     DecisionFixture(final int destinations) {
+        this(destinations, TARGET_COURIERS);
+    }
+
+    /** The same in a fleet of so many couriers: of few, each tries a destination that is down more often. */
+    DecisionFixture(final int destinations, final int couriers) {
         this.destinations = destinations;
         this.list = ListTable.of(destinations);
-        this.control = new Control(settings(), SEED, actions, list, DESTINATIONS_AT_REST);
+        this.control = new Control(settings(couriers), SEED, actions, list, DESTINATIONS_AT_REST);
         tellWholeList();
         control.decide(nowUs);
     }
@@ -53,6 +66,20 @@
         control.decide(nowUs);
     }
 
+    /** Lets time pass until a call is made, and ends the oldest one that is out; what has ended is taken anew. */
+    void endOneCall(final Courier.Result result) {
+        while (actions.out.isEmpty()) {
+            nowUs += LOOK_US;
+            control.decide(nowUs);
+        }
+        final CountingActions.Call call = actions.out.remove();
+        final boolean delivered = result == Courier.Result.DELIVERED;
+        actions.ended += delivered ? 1 : 0;
+        control.onOutcome(
+                nowUs, new Courier.Outcome(call.messageId(), result, delivered, call.endpoint(), CALL_US, 0, null));
+        take(actions.takeEnded(), 1);
+    }
+
     /** Decides a microsecond later, when nothing has become due. */
     void decideSoon() {
         control.decide(++nowUs);
@@ -90,16 +117,21 @@
         return figures;
     }
 
+    /** Messages that have been taken and have not ended. */
+    int waitingOrOut() {
+        return taken - actions.endedInAll;
+    }
+
     /** Calls that the module has asked for so far. */
     int sent() {
         return actions.sent;
     }
 
-    private static Courier.Settings settings() {
+    private static Courier.Settings settings(final int couriers) {
         final var notice =
                 new Courier.MessageClass("notice", Courier.Effect.SAFE, false, false, 1, 0, SECOND_US, DAY_US, 0);
         return new Courier.Settings(
-                COURIERS,
+                couriers,
                 ListSample.zone(0),
                 false,
                 Courier.Weights.ROUGH,
@@ -113,18 +145,34 @@
 
     /** Carries nothing out, and counts the calls asked for. */
     private static final class CountingActions implements Courier.Actions {
-        private int sent;
+        private record Call(String messageId, long endpoint) {}
+
+        private final Queue<Call> out = new ArrayDeque<>();
+        private int sent, ended, endedInAll;
+
+        /** How many messages have ended since this was last asked. */
+        private int takeEnded() {
+            final int taken = ended;
+            endedInAll += taken;
+            ended = 0;
+            return taken;
+        }
 
         @Override
         public void send(final String messageId, final long endpoint, final long timeoutUs) {
             sent++;
+            out.add(new Call(messageId, endpoint));
         }
 
         @Override
-        public void refuse(final String messageId, final long retryAfterUs) {}
+        public void refuse(final String messageId, final long retryAfterUs) {
+            ended++;
+        }
 
         @Override
-        public void fail(final String messageId) {}
+        public void fail(final String messageId) {
+            ended++;
+        }
 
         @Override
         public void cancel(final String messageId, final int attempt) {}
--- a/src/main/java/driftchute/scale/slope/DecisionSeries.java
+++ b/src/main/java/driftchute/scale/slope/DecisionSeries.java
@@ -1,5 +1,6 @@
 package driftchute.scale.slope;
 
+import driftchute.Courier;
 import java.util.List;
 
 /** Processor time and heap of the decision module, against what it holds. */
@@ -12,6 +13,8 @@
     private static final int TARGET_DOWN = 1935;
     /** The target's backlog of 2.2 billion over 660 couriers. */
     private static final int TARGET_WAITING = 3_333_333;
+    /** The same, spread over the destinations that are down. */
+    private static final int TARGET_WAITING_FOR_ONE = TARGET_WAITING / TARGET_DOWN;
     /** Over how many destinations waiting messages are spread. */
     private static final int WAITING_DESTINATIONS = 100;
 
@@ -33,7 +36,21 @@
                         "us of processor per decision",
                         WAITING,
                         TARGET_WAITING,
-                        size -> decisionMicros(size, Math.min(size, WAITING_DESTINATIONS))));
+                        size -> decisionMicros(size, Math.min(size, WAITING_DESTINATIONS))),
+                new Series(
+                        "decisions-trial",
+                        "messages waiting for one destination that refuses connections",
+                        "us of processor per trial, with its decisions",
+                        WAITING,
+                        TARGET_WAITING_FOR_ONE,
+                        size -> callMicros(size, Courier.Result.NO_CONNECTION)),
+                new Series(
+                        "decisions-drain",
+                        "messages waiting for one destination that answers",
+                        "us of processor per message delivered, with its decisions",
+                        WAITING,
+                        TARGET_WAITING_FOR_ONE,
+                        size -> callMicros(size, Courier.Result.DELIVERED)));
     }
 
     /** The work of a second in which nothing happens, and of a change, against the length of the list. */
@@ -99,6 +116,13 @@
         return ProcessorTime.microsPerCall(closed(messages, destinations)::decideSoon);
     }
 
+    /** One call to a destination with messages waiting, in a fleet of one: trials are two seconds apart at most. */
+    private static double callMicros(final int messages, final Courier.Result result) {
+        final DecisionFixture fixture = new DecisionFixture(1, 1);
+        fixture.take(messages, 1);
+        return ProcessorTime.microsPerCall(() -> fixture.endOneCall(result));
+    }
+
     /** A module whose destinations are all closed, with messages waiting for them. */
     private static DecisionFixture closed(final int messages, final int destinations) {
         final DecisionFixture fixture = new DecisionFixture(destinations);
--- a/src/test/java/driftchute/scale/slope/DecisionFixtureTest.java
+++ b/src/test/java/driftchute/scale/slope/DecisionFixtureTest.java
@@ -29,6 +29,19 @@
         assertEquals(DESTINATIONS, fixture.sent(), "one call for each destination");
     }
 
+    @Test
+    void aBacklogStaysAsLargeWhileItIsTriedOrDrained() {
+        for (final Courier.Result result : List.of(Courier.Result.NO_CONNECTION, Courier.Result.DELIVERED)) {
+            final DecisionFixture fixture = new DecisionFixture(1, 1);
+            fixture.take(DESTINATIONS, 1);
+            for (int call = 0; call < 100; call++) {
+                fixture.endOneCall(result);
+            }
+            assertTrue(fixture.sent() >= 100, result + ": " + fixture.sent());
+            assertEquals(DESTINATIONS, fixture.waitingOrOut(), result.toString());
+        }
+    }
+
     @Test
     void theListHasTheTargetsShareOfEndpoints() {
         assertEquals(76_500, ListTable.of(45_000).table().size());
