--- a/src/main/java/driftchute/scale/fleet/ListWatch.java
+++ b/src/main/java/driftchute/scale/fleet/ListWatch.java
@@ -52,7 +52,7 @@
     private int connection;
 
     private boolean standing, connectionSilent, reading;
-    /** What is being read, or was last. */
+    /** What is being read, or null. */
     private ControlUplink.Transfer download;
 
     private long version;
@@ -91,6 +91,7 @@
         standing = false;
         connectionSilent = false;
         reading = false;
+        download = null;
         lastWordUs = events.nowUs();
         fetches.watches++;
         traffic.count(events.nowUs(), ControlTraffic.REQUEST_BYTES);
