Scale run: calls to cold destinations, by whether their message had been tried before

660 couriers brought more than what tips and chance in 398 of 6,228 cold spans, by no cause shown. The sum of first attempts and of trials at the rate of Control.trialUs is 9.8 calls in a span of 2 s, with 9.4 allowed; the two counts show whether that is it.

--- a/src/main/java/driftchute/scale/fleet/Destinations.java
+++ b/src/main/java/driftchute/scale/fleet/Destinations.java
@@ -48,6 +48,8 @@
 
     private long lastCallUs;
     private long calls, delivered, refused, callsWhileDown, callsCutOff, coldSpans, coldSpansOverTip;
+    /** Calls to cold destinations, by whether their message had been tried before. */
+    private long coldFirstAttempts, coldLaterAttempts;
 
     Destinations(final FleetParameters parameters, final EventQueue events) {
         this.parameters = parameters;
@@ -111,7 +113,7 @@
             callsWhileDown++;
             return whileDown(destination, call);
         }
-        countCold(destination, call.atUs());
+        countCold(destination, call);
         final double warmth = warmth(destination, call.atUs());
         refill(destination, call.atUs(), warmth);
         if (room[destination] < 1) {
@@ -159,11 +161,15 @@
 
     // ---------------------------------------------------------------- what cold ones are sent
 
-    private void countCold(final int destination, final long atUs) {
+    private void countCold(final int destination, final AttemptCall call) {
         if (upSinceUs[destination] == 0) {
             return;
         }
-        final int span = (int) ((atUs - upSinceUs[destination]) / COLD_SPAN_US);
+        if (warmth(destination, call.atUs()) < 1) {
+            coldFirstAttempts += call.attempt() == 1 ? 1 : 0;
+            coldLaterAttempts += call.attempt() == 1 ? 0 : 1;
+        }
+        final int span = (int) ((call.atUs() - upSinceUs[destination]) / COLD_SPAN_US);
         if (span != coldSpan[destination]) {
             closeColdSpan(destination);
             coldSpan[destination] = span;
@@ -219,6 +225,14 @@
         return coldSpans;
     }
 
+    long coldFirstAttempts() {
+        return coldFirstAttempts;
+    }
+
+    long coldLaterAttempts() {
+        return coldLaterAttempts;
+    }
+
     long coldSpansOverTip() {
         return coldSpansOverTip;
     }
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -266,6 +266,8 @@
         counted("calls to destinations that were down", destinations.callsWhileDown());
         counted("calls over a cut network", destinations.callsCutOff());
         counted("calls refused above the limit", destinations.refused());
+        counted("calls to cold destinations, first attempts", destinations.coldFirstAttempts());
+        counted("calls to cold destinations, later attempts", destinations.coldLaterAttempts());
         counted("cold spans with calls", destinations.coldSpans());
         counted("cold spans above what tips and chance", destinations.coldSpansOverTip());
         final Histogram load = destinations.coldLoad();
--- a/src/test/java/driftchute/scale/fleet/FleetRunTest.java
+++ b/src/test/java/driftchute/scale/fleet/FleetRunTest.java
@@ -73,6 +73,9 @@
         assertTrue(figures.value("messages taken") > 0);
         assertTrue(figures.value("calls to destinations that were down") > 0);
         assertTrue(figures.value("change in force: worst") > 8, "the outage holds up a change");
+        final double coldCalls = figures.value("calls to cold destinations, first attempts")
+                + figures.value("calls to cold destinations, later attempts");
+        assertTrue(coldCalls >= figures.value("cold spans with calls"), "a span has a call: " + coldCalls);
     }
 
     @Test
