Scale run: a replaced courier's list counts among those for empty folders; a control machine serves a region

Machines were given out by the courier's number, which with 9 zones and 3 machines is its region; now it says so.

--- a/src/main/java/driftchute/scale/fleet/ControlTraffic.java
+++ b/src/main/java/driftchute/scale/fleet/ControlTraffic.java
@@ -28,7 +28,7 @@
         byMinute[Math.min(minute, byMinute.length - 1)] += bytes;
     }
 
-    /** Counts the whole list that a courier without any has to fetch: told apart from what comes later. */
+    /** Counts the whole list that a courier with an empty folder has to fetch: told apart from all else. */
     void countFirstList(final long bytes) {
         total += bytes;
         firstLists += bytes;
--- a/src/main/java/driftchute/scale/fleet/ControlUplink.java
+++ b/src/main/java/driftchute/scale/fleet/ControlUplink.java
@@ -6,14 +6,15 @@
 import java.util.PriorityQueue;
 
 /**
- * The lines of the control machines, over which discovery sends its lists. Each machine serves its own couriers, and
- * what it sends at one time shares its line evenly. Requests are given between two slices, in the order of their times.
+ * The lines of the control machines, over which discovery sends its lists. Each machine serves the couriers of a region, or
+ * of several, and what it sends at one time shares its line evenly. Requests are given between two slices, in the order of their times.
  */
 final class ControlUplink {
     /** A line of the list on its way to one courier. */
     static final class Transfer {
         private final long atUs;
         private final int courier;
+        private final int region;
         private final long bytes;
         private final Completion completion;
         /** Bytes that the machine has sent to each of its transfers when this one ends. */
@@ -26,12 +27,14 @@
          *
          * @param atUs when it was asked for
          * @param courier who asked
+         * @param region where that courier is
          * @param bytes its length
          * @param completion told when the last byte has left
          */
-        Transfer(final long atUs, final int courier, final long bytes, final Completion completion) {
+        Transfer(final long atUs, final int courier, final int region, final long bytes, final Completion completion) {
             this.atUs = atUs;
             this.courier = courier;
+            this.region = region;
             this.bytes = bytes;
             this.completion = completion;
         }
@@ -75,7 +78,7 @@
     }
 
     private Line lineOf(final Transfer transfer) {
-        return lines.get(transfer.courier % lines.size());
+        return lines.get(transfer.region % lines.size());
     }
 
     /** Bytes sent so far, over all lines. */
--- a/src/main/java/driftchute/scale/fleet/FleetFigures.java
+++ b/src/main/java/driftchute/scale/fleet/FleetFigures.java
@@ -178,7 +178,7 @@
                 .mapToLong(one -> one.figures().traffic.worstMinute())
                 .max()
                 .orElse(0);
-        add("control bytes, first lists, each courier", first / couriers.size(), "B", Basis.COUNTED, null);
+        add("control bytes, lists for empty folders, each courier", first / couriers.size(), "B", Basis.COUNTED, null);
         add(
                 "control bytes after it, each courier, mean",
                 later / couriers.size() / seconds,
--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -51,6 +51,9 @@
     private int process;
 
     private boolean running, ready;
+    /** The process began, or begins next, on an empty folder. */
+    private boolean emptyFolder = true;
+
     private long processStartUs;
     private long readyAtUs;
     /** Since when the control machines can be reached. */
@@ -89,6 +92,10 @@
         return parameters.plan().zoneOfCourier(index);
     }
 
+    private int region() {
+        return parameters.plan().regionOf(zone());
+    }
+
     CourierFigures figures() {
         return figures;
     }
@@ -116,8 +123,10 @@
                 this::download,
                 () -> regionCut.cutsOffControl(zoneName()),
                 first,
+                emptyFolder,
                 list.version(),
                 this::onLine);
+        emptyFolder = false;
         final double readSeconds = storedBytes() / (parameters.model().listMegabytesPerSecond() * BYTES_PER_MB);
         inThisProcess(parameters.model().startMs() * Units.US_PER_MS + Units.us(readSeconds), this::begin);
     }
@@ -159,7 +168,8 @@
     }
 
     private ControlUplink.Transfer download(final long bytes, final ControlUplink.Completion completion) {
-        final ControlUplink.Transfer transfer = new ControlUplink.Transfer(events.nowUs(), index, bytes, completion);
+        final ControlUplink.Transfer transfer =
+                new ControlUplink.Transfer(events.nowUs(), index, region(), bytes, completion);
         transfers.add(transfer);
         return transfer;
     }
@@ -182,6 +192,7 @@
             restart();
             figures.messages.lostWithFolder += open.size();
             open.clear();
+            emptyFolder = true;
             if (listFolder != null) {
                 deleteStoredList();
             }
--- a/src/main/java/driftchute/scale/fleet/ListWatch.java
+++ b/src/main/java/driftchute/scale/fleet/ListWatch.java
@@ -45,6 +45,7 @@
     private final BooleanSupplier cutOff;
 
     private final boolean firstStart;
+    private final boolean emptyFolder;
     private final Consumer<byte[]> lines;
 
     private boolean closed;
@@ -70,6 +71,7 @@
             final Downloads downloads,
             final BooleanSupplier cutOff,
             final boolean firstStart,
+            final boolean emptyFolder,
             final long version,
             final Consumer<byte[]> lines) {
         this.events = events;
@@ -81,6 +83,7 @@
         this.downloads = downloads;
         this.cutOff = cutOff;
         this.firstStart = firstStart;
+        this.emptyFolder = emptyFolder;
         this.version = version;
         this.lines = lines;
     }
@@ -215,16 +218,16 @@
 
     private void count(final boolean whole, final long bytes) {
         final boolean first = whole && !hadWhole;
-        if (first && firstStart) {
-            fetches.wholeAtFirstStart++;
+        if (first && emptyFolder) {
             lastWordUs = events.nowUs();
             traffic.countFirstList(bytes);
         } else {
             word(bytes);
-            fetches.wholeAtRestart += first ? 1 : 0;
-            fetches.wholeLater += whole && !first ? 1 : 0;
-            fetches.changeLines += whole ? 0 : 1;
         }
+        fetches.wholeAtFirstStart += first && firstStart ? 1 : 0;
+        fetches.wholeAtRestart += first && !firstStart ? 1 : 0;
+        fetches.wholeLater += whole && !first ? 1 : 0;
+        fetches.changeLines += whole ? 0 : 1;
         hadWhole |= whole;
     }
 
--- a/src/test/java/driftchute/scale/fleet/ControlUplinkTest.java
+++ b/src/test/java/driftchute/scale/fleet/ControlUplinkTest.java
@@ -15,7 +15,7 @@
     private final Map<Integer, Long> ended = new TreeMap<>();
 
     private ControlUplink.Transfer transfer(final long atUs, final int courier, final long bytes) {
-        return new ControlUplink.Transfer(atUs, courier, bytes, endUs -> ended.put(courier, endUs));
+        return new ControlUplink.Transfer(atUs, courier, courier, bytes, endUs -> ended.put(courier, endUs));
     }
 
     private static ControlUplink uplink(final int machines) {
