--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -6,10 +6,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.BitSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 
 /**
@@ -17,12 +14,7 @@
  * handed in at random, and calls that the models of the destinations answer. Between two slices it meets nobody.
  */
 final class HollowCourier implements Courier.Actions {
-    /** How late an end may come, as the platform allows. */
-    private static final long LATE_US = 300 * Units.US_PER_MS;
-
     private static final double BYTES_PER_MB = 1e6;
-    /** After a start no end is late for so long. */
-    private static final long START_GRACE_US = 1_500 * Units.US_PER_MS;
     /** A message refused so near its end was given up rather than turned away. */
     private static final long GIVEN_UP_WITHIN_US = 50 * Units.US_PER_MS;
 
@@ -35,10 +27,9 @@
     private final Random traffic;
     private final Random pauses;
     private final long arrivalsEndUs;
-    private final Map<String, OpenMessage> open = new LinkedHashMap<>();
+    private final OpenMessages messages;
     private final List<AttemptCall> calls = new ArrayList<>();
     private final List<ControlUplink.Transfer> transfers = new ArrayList<>();
-    private final BitSet contacted = new BitSet();
     private final CourierFigures figures;
 
     /** Where the list is kept, or null. */
@@ -59,7 +50,7 @@
     /** Since when the control machines can be reached. */
     private long controlSinceUs;
 
-    private long messagesMade, callsMade;
+    private long callsMade;
 
     HollowCourier(
             final int index,
@@ -82,6 +73,8 @@
         this.traffic = new Random(Seeds.of(seed, Seeds.TRAFFIC, index));
         this.pauses = new Random(Seeds.of(seed, Seeds.WATCH, index));
         this.figures = new CourierFigures(startUs, endUs);
+        this.messages = new OpenMessages(
+                index, parameters.plan().destinations(), settings.classes(), traffic, figures.messages);
     }
 
     String zoneName() {
@@ -190,8 +183,7 @@
     void replace() {
         if (running) {
             restart();
-            figures.messages.lostWithFolder += open.size();
-            open.clear();
+            messages.loseAll();
             emptyFolder = true;
             if (listFolder != null) {
                 deleteStoredList();
@@ -218,17 +210,10 @@
         watch.close();
         figures.lanesVisited += control.workload().lanesVisited();
         control = null;
-        open.values().forEach(this::cutOff);
+        messages.cutOffCalls();
         events.after(parameters.model().downMs() * Units.US_PER_MS, this::startProcess);
     }
 
-    private void cutOff(final OpenMessage message) {
-        if (message.callOut) {
-            message.callOut = false;
-            message.mayHaveRunSince(message.callSentUs);
-        }
-    }
-
     boolean running() {
         return running;
     }
@@ -247,7 +232,7 @@
         ready = true;
         readyAtUs = events.nowUs();
         figures.readyUs(process == 1, events.nowUs() - processStartUs);
-        for (final OpenMessage message : List.copyOf(open.values())) {
+        for (final OpenMessage message : messages.all()) {
             control.onResumed(events.nowUs(), message.message, message.past());
         }
         decideOnEvent();
@@ -303,9 +288,7 @@
 
     private void makeBacklog() {
         for (int number = 0; number < parameters.backlogPerCourier(); number++) {
-            final OpenMessage message = nextMessage();
-            open.put(message.message.id(), message);
-            figures.messages.taken++;
+            messages.take(events.nowUs());
         }
     }
 
@@ -321,49 +304,28 @@
         if (events.nowUs() >= arrivalsEndUs) {
             return;
         }
-        final OpenMessage taken = nextMessage();
-        open.put(taken.message.id(), taken);
-        figures.messages.taken++;
+        final OpenMessage taken = messages.take(events.nowUs());
         control.onMessage(events.nowUs(), taken.message);
         decideOnEvent();
         scheduleArrival();
     }
 
-    private OpenMessage nextMessage() {
-        final int messageClass = traffic.nextInt(settings.classes().size());
-        final long destination = traffic.nextInt(parameters.plan().destinations());
-        final long deadlineUs = settings.classes().get(messageClass).deadlineUs();
-        contacted.set((int) destination);
-        return new OpenMessage(new Courier.Message(
-                "c" + index + "-" + messagesMade++, messageClass, -1, null, events.nowUs() + deadlineUs, destination));
-    }
-
     /** Messages without an end whose time is over. */
     long overdue() {
-        final long nowUs = events.nowUs();
-        return open.values().stream()
-                .filter(message -> message.message.validUntilUs() + LATE_US < nowUs)
-                .count();
+        return messages.overdue(events.nowUs());
     }
 
     int openMessages() {
-        return open.size();
+        return messages.size();
     }
 
     /** Destinations that this courier has had a message for. */
     int destinationsContacted() {
-        return contacted.cardinality();
+        return messages.destinationsContacted();
     }
 
     private void end(final String messageId, final Runnable count) {
-        final OpenMessage ended = open.remove(messageId);
-        if (ended == null) {
-            figures.messages.endedTwice++;
-            return;
-        }
-        count.run();
-        final long dueUs = Math.max(ended.message.validUntilUs() + LATE_US, readyAtUs + START_GRACE_US);
-        figures.messages.late += events.nowUs() > dueUs ? 1 : 0;
+        messages.end(messageId, events.nowUs(), readyAtUs, count);
     }
 
     // ---------------------------------------------------------------- decisions
@@ -384,7 +346,7 @@
 
     @Override
     public void send(final String messageId, final long endpoint, final long timeoutUs) {
-        final OpenMessage sent = open.get(messageId);
+        final OpenMessage sent = messages.find(messageId);
         sent.attempts++;
         sent.callOut = true;
         sent.callSentUs = events.nowUs();
@@ -449,7 +411,7 @@
 
     @Override
     public void refuse(final String messageId, final long retryAfterUs) {
-        final OpenMessage refused = open.get(messageId);
+        final OpenMessage refused = messages.find(messageId);
         final boolean givenUp = refused != null && refused.message.validUntilUs() - events.nowUs() < GIVEN_UP_WITHIN_US;
         end(messageId, () -> {
             figures.messages.refused++;
@@ -464,7 +426,7 @@
 
     @Override
     public void cancel(final String messageId, final int attempt) {
-        final OpenMessage cancelled = open.get(messageId);
+        final OpenMessage cancelled = messages.find(messageId);
         if (cancelled == null || !cancelled.callOut) {
             return;
         }
