--- a/src/main/java/driftchute/scale/fleet/ControlUplink.java
+++ b/src/main/java/driftchute/scale/fleet/ControlUplink.java
@@ -6,8 +6,9 @@
 import java.util.PriorityQueue;
 
 /**
- * The lines of the control machines, over which discovery sends its lists. Each machine serves the couriers of a region, or
- * of several, and what it sends at one time shares its line evenly. Requests are given between two slices, in the order of their times.
+ * The lines of the control machines, over which discovery sends its lists. Each machine serves the couriers of a
+ * region, or of several, and what it sends at one time shares its line evenly. Requests are given between two slices,
+ * in the order of their times.
  */
 final class ControlUplink {
     /** A line of the list on its way to one courier. */
