--- a/src/main/java/driftchute/scale/fleet/HollowCourier.java
+++ b/src/main/java/driftchute/scale/fleet/HollowCourier.java
@@ -19,6 +19,7 @@
     private static final long GIVEN_UP_WITHIN_US = 50 * Units.US_PER_MS;
 
     private final int index;
+    private final String zoneName;
     private final FleetParameters parameters;
     private final Courier.Settings settings;
     private final EventQueue events;
@@ -68,7 +69,8 @@
         this.regionCut = regionCut;
         this.listFolder = listFolder;
         this.arrivalsEndUs = arrivalsEndUs;
-        this.settings = CourierSettings.of(parameters, zoneName());
+        this.zoneName = parameters.plan().zoneName(zone());
+        this.settings = CourierSettings.of(parameters, zoneName);
         this.events = new EventQueue(startUs);
         this.traffic = new Random(Seeds.of(seed, Seeds.TRAFFIC, index));
         this.pauses = new Random(Seeds.of(seed, Seeds.WATCH, index));
@@ -78,7 +80,7 @@
     }
 
     String zoneName() {
-        return parameters.plan().zoneName(zone());
+        return zoneName;
     }
 
     int zone() {
