A start waits 4.5 s for a slow agent before it sends by an old list

What callers saw: a process that started while its agent answered after 1.5 s was ready after 1.7 s with the list of before, and sent to an endpoint that had drained while no process ran, for as long as the watch did not stand. Cause: ListStart took an agent that had said nothing for 1 s for one that is down. What the agent has counts as told from the first moment of a new process, however slowly it is told. Change: with a list in force the first word is waited for during 4.5 s. With no list nothing changes (8 s).

--- a/src/main/java/driftchute/node/ListStart.java
+++ b/src/main/java/driftchute/node/ListStart.java
@@ -11,6 +11,11 @@
  * is in the middle of telling; with none it is, as there is nobody to serve.
  */
 final class ListStart {
+    /**
+     * How long the agent's first word is waited for where a list is in force. A slow agent has news that count as told
+     * already; one that is silent for longer is down, and has none.
+     */
+    static final int FIRST_WORD_MS = 4500;
     /** A courier that is ready serves somebody, but a restarted one must be ready within 10 s. */
     private static final int MOST_MS = 8000;
 
@@ -35,7 +40,7 @@
                     firstWordLate = true;
                     beginIfListed();
                 },
-                Watch.FIRST_WORD_MS,
+                FIRST_WORD_MS,
                 TimeUnit.MILLISECONDS);
         loop.schedule(this::beginAnyway, MOST_MS, TimeUnit.MILLISECONDS);
     }
