Times that outlast the process are spans of real time

Ruled out: steps while the process runs (timers are monotonic). Change: these files hold persistent time, the monotonic clock plus an offset that the state folder keeps for this boot of the machine (ClockFile). A folder without that file, from the release before, goes by the wall clock once.

--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -3,7 +3,7 @@
 import driftchute.Courier;
 
 /**
- * A message that this courier owes an end, as the journal keeps it (times in Unix microseconds): what its client
+ * A message that this courier owes an end, as the journal keeps it (times in microseconds of persistent time): what its client
  * handed in, and what became of it so far. Once it has ended by a notice, only the notice is still owed.
  */
 final class Held {
@@ -16,13 +16,13 @@
     final String orderKey;
 
     final long destination;
-    final long validUntilWallUs;
+    final long validUntilPersistentUs;
     final byte[] body;
     private int attempts;
-    private long firstRunWallUs = NEVER;
+    private long firstRunPersistentUs = NEVER;
     private String runZone = "";
     /** When the attempt that is out was begun; never, while none is. */
-    private long outWallUs = NEVER;
+    private long outPersistentUs = NEVER;
 
     private String outZone = "";
     private Notice notice;
@@ -36,35 +36,35 @@
             final String idempotencyKey,
             final String orderKey,
             final long destination,
-            final long validUntilWallUs,
+            final long validUntilPersistentUs,
             final byte[] body) {
         this.id = id;
         this.className = className;
         this.idempotencyKey = idempotencyKey;
         this.orderKey = orderKey;
         this.destination = destination;
-        this.validUntilWallUs = validUntilWallUs;
+        this.validUntilPersistentUs = validUntilPersistentUs;
         this.body = body;
     }
 
-    void begin(final long wallUs, final String zone) {
+    void begin(final long persistentUs, final String zone) {
         attempts++;
-        outWallUs = wallUs;
+        outPersistentUs = persistentUs;
         outZone = zone;
     }
 
     /** The attempt that was out has its outcome. */
     void settle(final boolean neverRan) {
-        if (!neverRan && outWallUs != NEVER) {
-            firstRunWallUs = Math.min(firstRunWallUs, outWallUs);
+        if (!neverRan && outPersistentUs != NEVER) {
+            firstRunPersistentUs = Math.min(firstRunPersistentUs, outPersistentUs);
             runZone = outZone;
         }
-        outWallUs = NEVER;
+        outPersistentUs = NEVER;
     }
 
     void restore(final int attemptsUsed, final long firstRun, final String zone) {
         attempts = attemptsUsed;
-        firstRunWallUs = firstRun;
+        firstRunPersistentUs = firstRun;
         runZone = zone;
     }
 
@@ -80,8 +80,8 @@
         return attempts;
     }
 
-    long firstRunWallUs() {
-        return firstRunWallUs;
+    long firstRunPersistentUs() {
+        return firstRunPersistentUs;
     }
 
     String runZone() {
@@ -89,11 +89,11 @@
     }
 
     boolean isOut() {
-        return outWallUs != NEVER;
+        return outPersistentUs != NEVER;
     }
 
-    long outWallUs() {
-        return outWallUs;
+    long outPersistentUs() {
+        return outPersistentUs;
     }
 
     String outZone() {
@@ -102,19 +102,20 @@
 
     /** As {@link #past}, where the call that is out goes on at a process that still lives. */
     Courier.Past pastBut(final Clock clock, final long endpoint) {
-        final boolean ran = firstRunWallUs != NEVER;
+        final boolean ran = firstRunPersistentUs != NEVER;
         return new Courier.Past(
                 attempts,
                 ran,
-                ran ? clock.fromWallUs(firstRunWallUs) : 0,
+                ran ? clock.fromPersistentUs(firstRunPersistentUs) : 0,
                 runZone,
-                new Courier.Out(endpoint, clock.fromWallUs(outWallUs)));
+                new Courier.Out(endpoint, clock.fromPersistentUs(outPersistentUs)));
     }
 
     /** What a process that did not see the attempts may count on. A call that was out may have run. */
     Courier.Past past(final Clock clock) {
-        final long firstWallUs = Math.min(firstRunWallUs, outWallUs);
-        final boolean ran = firstWallUs != NEVER;
-        return new Courier.Past(attempts, ran, ran ? clock.fromWallUs(firstWallUs) : 0, isOut() ? outZone : runZone);
+        final long firstPersistentUs = Math.min(firstRunPersistentUs, outPersistentUs);
+        final boolean ran = firstPersistentUs != NEVER;
+        return new Courier.Past(
+                attempts, ran, ran ? clock.fromPersistentUs(firstPersistentUs) : 0, isOut() ? outZone : runZone);
     }
 }
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -170,7 +170,7 @@
             if (out) {
                 folder.out(host);
             } else {
-                folder.back(host, clock.wallUs());
+                folder.back(host, clock.persistentUs());
             }
         } catch (final IOException e) {
             Log.info("cannot mark " + host + ": " + e.getMessage());
@@ -184,7 +184,7 @@
     private void look() {
         final Map<String, Long> found;
         try {
-            found = folder.read(clock.wallUs());
+            found = folder.read(clock.persistentUs());
         } catch (final IOException e) {
             Log.info("cannot read which endpoints are out: " + e.getMessage());
             return;
@@ -207,7 +207,7 @@
         final Long endpoint = discovery.idOf(host);
         if (endpoint != null) {
             final long at = marks.get(host);
-            control.onHand(clock.nowUs(), endpoint, at == Marks.OUT, at == Marks.OUT ? 0 : clock.fromWallUs(at));
+            control.onHand(clock.nowUs(), endpoint, at == Marks.OUT, at == Marks.OUT ? 0 : clock.fromPersistentUs(at));
             if (at == Marks.OUT) {
                 endpoints.refrain(endpoint);
             }
@@ -257,7 +257,7 @@
         final Open open = new Open(
                 held,
                 config.settings().classes().get(index),
-                clock.fromWallUs(held.validUntilWallUs),
+                clock.fromPersistentUs(held.validUntilPersistentUs),
                 null,
                 clock.nowUs());
         final String host = held.isOut() ? outTo(held.id) : null;
@@ -660,7 +660,7 @@
             for (final Parcel parcel : some) {
                 parcel.open().call = call;
                 parcel.open().firstSentUs = parcel.open().firstSentUs == 0 ? clock.nowUs() : parcel.open().firstSentUs;
-                recorded &= journal.begin(parcel.open().held, clock.wallUs(), discovery.zone(endpoint));
+                recorded &= journal.begin(parcel.open().held, clock.persistentUs(), discovery.zone(endpoint));
             }
             if (recorded) {
                 endpoints.start(call);
@@ -698,11 +698,11 @@
      * later than that. So long before the end of the window nothing is written any more: it is still on its way then.
      */
     private long writeByUs(final Open open) {
-        final long firstWallUs = open.held.firstRunWallUs();
-        if (open.kind.effect() != Courier.Effect.KEYED || firstWallUs == Held.NEVER) {
+        final long firstPersistentUs = open.held.firstRunPersistentUs();
+        if (open.kind.effect() != Courier.Effect.KEYED || firstPersistentUs == Held.NEVER) {
             return Held.NEVER;
         }
-        return clock.fromWallUs(firstWallUs) + (long) ((1 - KEY_MARGIN) * open.kind.keyWindowUs());
+        return clock.fromPersistentUs(firstPersistentUs) + (long) ((1 - KEY_MARGIN) * open.kind.keyWindowUs());
     }
 
     @Override
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -591,7 +591,8 @@
             }
             currentId = id;
             host.offer(
-                    new Held(id, kind.name(), key, orderKey, destination, clock.wallUs() + lifeUs, request.body()),
+                    new Held(
+                            id, kind.name(), key, orderKey, destination, clock.persistentUs() + lifeUs, request.body()),
                     clock.nowUs() + lifeUs,
                     new Host.Reply() {
                         @Override
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -109,14 +109,14 @@
     }
 
     /** Records an attempt, before its call's first byte; false if that failed, and then it may not be made. */
-    boolean begin(final Held held, final long wallUs, final String zone) {
+    boolean begin(final Held held, final long persistentUs, final String zone) {
         if (!append(Records.of(BEGUN, held.id, out -> {
-            out.writeLong(wallUs);
+            out.writeLong(persistentUs);
             out.writeUTF(zone);
         }))) {
             return false;
         }
-        held.begin(wallUs, zone);
+        held.begin(persistentUs, zone);
         return true;
     }
 
@@ -185,11 +185,11 @@
             out.writeBoolean(held.idempotencyKey != null);
             out.writeUTF(held.idempotencyKey == null ? "" : held.idempotencyKey);
             out.writeLong(held.destination);
-            out.writeLong(held.validUntilWallUs);
+            out.writeLong(held.validUntilPersistentUs);
             out.writeInt(held.body.length);
             out.write(held.body);
             out.writeInt(held.attempts() - (held.isOut() ? 1 : 0));
-            out.writeLong(held.firstRunWallUs());
+            out.writeLong(held.firstRunPersistentUs());
             out.writeUTF(held.runZone());
             // Behind all that an older journal has, which the next process may find when the program is replaced.
             out.writeBoolean(held.orderKey != null);
@@ -235,7 +235,7 @@
                     written = copy(
                             fresh,
                             Records.of(BEGUN, held.id, out -> {
-                                out.writeLong(held.outWallUs());
+                                out.writeLong(held.outPersistentUs());
                                 out.writeUTF(held.outZone());
                             }),
                             written);
@@ -302,15 +302,16 @@
         final boolean keyed = in.readBoolean();
         final String key = in.readUTF();
         final long destination = in.readLong();
-        final long validUntilWallUs = in.readLong();
+        final long validUntilPersistentUs = in.readLong();
         final byte[] body = in.readNBytes(in.readInt());
         final int attempts = in.readInt();
-        final long firstRunWallUs = in.readLong();
+        final long firstRunPersistentUs = in.readLong();
         final String runZone = in.readUTF();
         final boolean ordered = in.available() > 0 && in.readBoolean();
         final String orderKey = ordered ? in.readUTF() : null;
-        final Held taken = new Held(id, className, keyed ? key : null, orderKey, destination, validUntilWallUs, body);
-        taken.restore(attempts, firstRunWallUs, runZone);
+        final Held taken =
+                new Held(id, className, keyed ? key : null, orderKey, destination, validUntilPersistentUs, body);
+        taken.restore(attempts, firstRunPersistentUs, runZone);
         return taken;
     }
 }
--- a/src/main/java/driftchute/node/Leaving.java
+++ b/src/main/java/driftchute/node/Leaving.java
@@ -42,7 +42,7 @@
     /** Begins a file of its own in that folder. */
     static Leaving begin(final Path folder, final Clock clock, final long diskBytes) throws IOException {
         final Path path = folder.resolve(
-                PREFIX + clock.wallUs() + "-" + ProcessHandle.current().pid());
+                PREFIX + clock.persistentUs() + "-" + ProcessHandle.current().pid());
         final FileChannel file = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         return new Leaving(clock, file, file.lock(), (long) (FILE_SHARE * diskBytes));
     }
@@ -52,7 +52,7 @@
         return alive.isValid();
     }
 
-    /** How an endpoint and its destination stand; times go as Unix time, which the next process knows as well. */
+    /** How an endpoint and its destination stand; times go as persistent time, which the next process knows as well. */
     void standing(final String host, final Courier.Standing standing) throws IOException {
         append(STANDING, host, out -> {
             out.writeInt(standing.figures().size());
@@ -63,7 +63,7 @@
             out.writeInt(standing.timesUs().size());
             for (final Map.Entry<String, Long> time : standing.timesUs().entrySet()) {
                 out.writeUTF(time.getKey());
-                out.writeLong(clock.toWallUs(time.getValue()));
+                out.writeLong(clock.toPersistentUs(time.getValue()));
             }
         });
     }
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -39,7 +39,7 @@
     private final EventLoopGroup group =
             new PatientLoopGroup(new DefaultThreadFactory("courier"), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final Clock clock = new Clock();
+    private final Clock clock;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Config config;
     private final Turn turn;
@@ -54,8 +54,9 @@
     private boolean serving;
     private boolean ending;
 
-    private Main(final Config config, final Turn turn, final ServerSocketChannel held) {
+    private Main(final Config config, final Clock clock, final Turn turn, final ServerSocketChannel held) {
         this.config = config;
+        this.clock = clock;
         this.turn = turn;
         this.held = held;
     }
@@ -72,7 +73,10 @@
 
     private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
         final Config config = Config.read(environment);
-        final Main main = new Main(config, Turn.in(config.state()), held(environment));
+        final Turn turn = Turn.in(config.state());
+        final Clock clock = new Clock();
+        ClockFile.in(config.state()).apply(clock);
+        final Main main = new Main(config, clock, turn, held(environment));
         HangUp.handle(() -> main.reload(environment));
         Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
         main.loop.execute(() -> main.orGiveUp(main::run));
--- a/src/main/java/driftchute/node/Marks.java
+++ b/src/main/java/driftchute/node/Marks.java
@@ -46,10 +46,10 @@
     }
 
     /** Puts one back; nothing happens if it was not out. */
-    void back(final String host, final long wallUs) throws IOException {
+    void back(final String host, final long persistentUs) throws IOException {
         final Path mark = file(OUT_PREFIX, host);
         try {
-            Files.setLastModifiedTime(mark, FileTime.from(wallUs, TimeUnit.MICROSECONDS));
+            Files.setLastModifiedTime(mark, FileTime.from(persistentUs, TimeUnit.MICROSECONDS));
             Files.move(mark, file(BACK_PREFIX, host), StandardCopyOption.ATOMIC_MOVE);
         } catch (final NoSuchFileException e) {
             Log.info(host + " was not out by hand");
@@ -60,8 +60,8 @@
         return folder.resolve(prefix + URLEncoder.encode(host, StandardCharsets.UTF_8));
     }
 
-    /** The endpoints that are out, and since when (in Unix time) the others are back that may still be cold. */
-    Map<String, Long> read(final long wallUs) throws IOException {
+    /** The endpoints that are out, and since when (in persistent time) the others are back that may still be cold. */
+    Map<String, Long> read(final long persistentUs) throws IOException {
         final String[] names = folder.toFile().list();
         if (names == null) {
             // Nobody has taken anything out yet.
@@ -69,18 +69,18 @@
         }
         final Map<String, Long> marks = new HashMap<>();
         for (final String name : names) {
-            read(folder.resolve(name), wallUs, marks);
+            read(folder.resolve(name), persistentUs, marks);
         }
         return marks;
     }
 
-    private void read(final Path file, final long wallUs, final Map<String, Long> into) throws IOException {
+    private void read(final Path file, final long persistentUs, final Map<String, Long> into) throws IOException {
         final String name = file.getFileName().toString();
         if (name.startsWith(OUT_PREFIX)) {
             into.put(host(name, OUT_PREFIX), OUT);
         } else if (name.startsWith(BACK_PREFIX)) {
             final long backUs = backUs(file);
-            if (wallUs - backUs > coldUs) {
+            if (persistentUs - backUs > coldUs) {
                 Files.deleteIfExists(file);
             } else {
                 into.putIfAbsent(host(name, BACK_PREFIX), backUs);
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -123,7 +123,7 @@
         }
         final Map<String, Long> times = new HashMap<>();
         for (int left = in.readInt(); left > 0; left--) {
-            times.put(in.readUTF(), clock.fromWallUs(in.readLong()));
+            times.put(in.readUTF(), clock.fromPersistentUs(in.readLong()));
         }
         return new Courier.Standing(figures, times);
     }
--- a/src/test/java/driftchute/node/CallCrossingsTest.java
+++ b/src/test/java/driftchute/node/CallCrossingsTest.java
@@ -156,7 +156,7 @@
     }
 
     private static Held held(final String id, final Clock clock) {
-        return new Held(id, "safe", null, null, 7, clock.wallUs() + LIFE_US, new byte[0]);
+        return new Held(id, "safe", null, null, 7, clock.persistentUs() + LIFE_US, new byte[0]);
     }
 
     /** A client to whom that happens as it is answered. */
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -57,7 +57,8 @@
         assertEquals(2, past.attempts());
         assertTrue(past.mayHaveRun(), "the attempt that was out may have run");
         assertEquals("b", past.runZone());
-        assertEquals(2000, clock.toWallUs(past.firstRunUs()), 50_000, "the refused attempt before does not count");
+        assertEquals(
+                2000, clock.toPersistentUs(past.firstRunUs()), 50_000, "the refused attempt before does not count");
         assertEquals(new Held.Notice(false, 700), live.get(1).notice());
     }
 
