A start waits for a folder or a socket that fails, and never ends for it

A socket or bind that failed for a moment ended it too. Cause: each step of the start handed its first IOException to giveUp. Opened files are closed on the way. What no time mends, as a configuration that cannot be read, still ends the start.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -133,12 +133,16 @@
         this.roomFor = mostConnections;
     }
 
+    /** Ends connections in time from now on. */
+    void begin(final EventLoop loop) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Listens on the one address of the configuration, or at the socket that the platform holds there, if it does;
      * {@code /up} is answered from then on.
      */
-    ChannelFuture listen(final EventLoopGroup group, final EventLoop loop, final ServerSocketChannel held) {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    ChannelFuture listen(final EventLoopGroup group, final ServerSocketChannel held) {
         shared = held != null;
         final ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -1,6 +1,7 @@
 package driftchute.node;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -53,6 +54,7 @@
 
     private boolean serving;
     private boolean ending;
+    private long lockFailures;
 
     private Main(final Config config, final Clock clock, final Turn turn, final ServerSocketChannel held) {
         this.config = config;
@@ -73,13 +75,29 @@
 
     private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
         final Config config = Config.read(environment);
-        final Turn turn = Turn.in(config.state());
-        final Clock clock = new Clock();
-        ClockFile.in(config.state()).apply(clock);
-        final Main main = new Main(config, clock, turn, held(environment));
+        final ServerSocketChannel held = held(environment);
+        final Turn turn = StartRetry.blocking("open the locks", () -> Turn.in(config.state()));
+        final Clock clock = StartRetry.blocking("read the clock file", () -> clock(config));
+        final Main main = StartRetry.blocking("begin an event loop", () -> main(config, clock, turn, held));
         HangUp.handle(() -> main.reload(environment));
         Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
-        main.loop.execute(() -> main.orGiveUp(main::run));
+        main.loop.execute(main::orGiveUp);
+    }
+
+    private static Clock clock(final Config config) throws IOException {
+        final Clock clock = new Clock();
+        ClockFile.in(config.state()).apply(clock);
+        return clock;
+    }
+
+    /** An event loop needs descriptors; the framework tells a lack of them by an unchecked exception. */
+    private static Main main(final Config config, final Clock clock, final Turn turn, final ServerSocketChannel held)
+            throws IOException {
+        try {
+            return new Main(config, clock, turn, held);
+        } catch (final IllegalStateException | ChannelException e) {
+            throw new IOException(e);
+        }
     }
 
     /**
@@ -101,32 +119,34 @@
         Runtime.getRuntime().halt(1);
     }
 
-    /** What is done on the event loop's thread at the start. */
-    private interface Start {
-        void run() throws IOException;
-    }
-
-    private void orGiveUp(final Start start) {
+    private void orGiveUp() {
         try {
-            start.run();
-        } catch (final IllegalArgumentException | IOException e) {
+            run();
+        } catch (final IllegalArgumentException e) {
             // On the loop's thread this would be swallowed, and a courier left that is never ready.
             giveUp(e.getMessage());
         }
     }
 
     /** Builds everything on the event loop, which owns it all from then on. */
-    private void run() throws IOException {
+    private void run() {
         host = new Host(config, loop, clock);
         intake = new Intake(config, clock, host);
         host.onShortage(intake::relieve);
         if (config.mgmt() != null) {
-            operators();
+            final Operators operators = new Operators(new Desk());
+            listenForOperators(operators, 0);
         }
-        final boolean alone = turn.take();
+        StartRetry.on(loop, "take the lock", () -> {
+            begin(turn.take());
+            return null;
+        });
+    }
+
+    private void begin(final boolean alone) {
         host.watchList();
         if (alone) {
-            host.whenListed(() -> orGiveUp(this::serve));
+            host.whenListed(this::serve);
         } else {
             Log.info(config.name() + " stands by: another process of this courier serves");
             loop.schedule(() -> healthy = true, STAND_BY_MS, TimeUnit.MILLISECONDS);
@@ -134,48 +154,80 @@
         }
     }
 
-    private void operators() {
-        new Operators(new Desk()).listen(config.mgmt()).addListener(bound -> {
+    private void listenForOperators(final Operators operators, final long failures) {
+        operators.listen(config.mgmt()).addListener(bound -> {
             if (bound.isSuccess()) {
+                StartRetry.succeeded("listen for operators", failures);
                 final Channel channel = ((ChannelFuture) bound).channel();
                 Log.info(
                         "operators call at " + channel.localAddress().toString().replaceFirst(".*/", ""));
             } else {
-                giveUp("cannot listen on " + config.mgmt() + ": "
-                        + bound.cause().getMessage());
+                StartRetry.failed("listen for operators on " + config.mgmt(), bound.cause(), failures);
+                StartRetry.later(loop, () -> listenForOperators(operators, failures + 1));
             }
         });
     }
 
     /** Waits until the process before this one lets go, or dies. */
-    private void standBy() throws IOException {
-        if (ending || turn.take()) {
+    private void standBy() {
+        boolean mine = false;
+        try {
+            mine = turn.take();
+        } catch (final IOException e) {
+            // The next look tells.
+            StartRetry.failed("take the lock", e, lockFailures++);
+        }
+        if (ending || mine) {
             serve();
         } else {
-            loop.schedule(() -> orGiveUp(this::standBy), TURN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::standBy, TURN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
     /** It is this process's turn: it owns the journal, decides and takes clients. */
-    private void serve() throws IOException {
+    private void serve() {
         if (ending) {
             return;
         }
         final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
         final CollectionWatch collections = new CollectionWatch(memory);
         loop.scheduleWithFixedDelay(collections::look, COLLECTION_MS, COLLECTION_MS, TimeUnit.MILLISECONDS);
-        host.start(Journal.open(config.state(), config.diskBytes(), memory));
+        StartRetry.on(loop, "open the journal", () -> {
+            if (!ending) {
+                takeUp(memory);
+            }
+            return null;
+        });
+    }
+
+    private void takeUp(final MemoryBudget memory) throws IOException {
+        final Journal journal = Journal.open(config.state(), config.diskBytes(), memory);
+        try {
+            host.start(journal);
+        } catch (final IOException e) {
+            journal.close();
+            throw e;
+        }
         serving = true;
-        intake.listen(group, loop, held).addListener(bound -> {
+        intake.begin(loop);
+        listen(0);
+    }
+
+    private void listen(final long failures) {
+        if (ending) {
+            return;
+        }
+        intake.listen(group, held).addListener(bound -> {
             if (bound.isSuccess()) {
+                StartRetry.succeeded("listen", failures);
                 healthy = !ending;
                 arrive();
                 Log.info(config.name() + " is ready at " + intake.address());
                 // Where descriptors run out, the JDK's logger could not read these any more: that ends the event loop.
                 loop.execute(() -> ZoneId.systemDefault().getRules());
             } else {
-                giveUp("cannot listen on " + config.listen() + ": "
-                        + bound.cause().getMessage());
+                StartRetry.failed("listen on " + config.listen(), bound.cause(), failures);
+                StartRetry.later(loop, () -> listen(failures + 1));
             }
         });
     }
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -43,12 +44,17 @@
         this.path = path;
         this.clock = clock;
         this.file = FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        this.position = Records.read(file, 0, takenUp, this::call);
-        Records.read(file, takenUp, (type, id, rest) -> {
-            if (type == Leaving.OUT) {
-                call(type, id, rest);
-            }
-        });
+        try {
+            this.position = Records.read(file, 0, takenUp, this::call);
+            Records.read(file, takenUp, (type, id, rest) -> {
+                if (type == Leaving.OUT) {
+                    call(type, id, rest);
+                }
+            });
+        } catch (final IOException e) {
+            file.close();
+            throw e;
+        }
     }
 
     /** Keeps which calls are out, without taking anything up. */
@@ -68,6 +74,11 @@
                 found.add(new Predecessor(
                         path, clock, journal.readTo(path.getFileName().toString())));
             }
+        } catch (final IOException | DirectoryIteratorException e) {
+            for (final Predecessor one : found) {
+                one.file.close();
+            }
+            throw e instanceof DirectoryIteratorException iteration ? iteration.getCause() : (IOException) e;
         }
         found.sort((one, other) -> one.path.compareTo(other.path));
         return found;
--- a/src/main/java/driftchute/node/Turn.java
+++ b/src/main/java/driftchute/node/Turn.java
@@ -26,7 +26,13 @@
 
     static Turn in(final Path folder) throws IOException {
         Files.createDirectories(folder);
-        return new Turn(open(folder.resolve("owner.lock")), open(folder.resolve("next.lock")));
+        final FileChannel owner = open(folder.resolve("owner.lock"));
+        try {
+            return new Turn(owner, open(folder.resolve("next.lock")));
+        } catch (final IOException e) {
+            owner.close();
+            throw e;
+        }
     }
 
     private static FileChannel open(final Path file) throws IOException {
--- a/src/test/java/driftchute/node/HandoverTest.java
+++ b/src/test/java/driftchute/node/HandoverTest.java
@@ -178,7 +178,8 @@
             final Clock clock = new Clock();
             final Intake intake = new Intake(config, clock, new Host(config, loop, clock));
             loop.submit(() -> {
-                        intake.listen(group, loop, shared);
+                        intake.begin(loop);
+                        intake.listen(group, shared);
                     })
                     .sync();
             final InetSocketAddress at = (InetSocketAddress) shared.getLocalAddress();
