--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -29,6 +29,9 @@
     /** How often the marks of endpoints taken out are looked at: a drain binds after 250 ms. */
     private static final long MARKS_MS = 50;
 
+    /** How often what could not be recorded is tried again: a notice is due 300 ms after its message's time is up. */
+    private static final long FLUSH_MS = 50;
+
     private static final long DEAD_US = 20_000;
     /**
      * A message's time runs from when its client sent it. It may have lain unread while the process had no core, up to
@@ -89,6 +92,16 @@
             this.sinceUs = sinceUs;
         }
 
+        /** True while that call is its attempt. */
+        boolean isIn(final Endpoints.Call other) {
+            return !over && call == other;
+        }
+
+        /** That call is its attempt from now on. */
+        void goesBy(final Endpoints.Call other) {
+            call = other;
+        }
+
         /** When it is ended at the latest. */
         long endUs() {
             return validUntilUs - slackUs;
@@ -109,6 +122,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
+    /** Messages that have ended by a notice which the journal has not recorded yet. */
+    private final List<Open> unrecorded = new ArrayList<>();
     /** Messages that were handed on to the process that takes over. */
     private final Set<String> handedOn = new HashSet<>();
     /** Messages that have ended and are still in a call, and those of them whose notice is answered. */
@@ -116,6 +131,7 @@
 
     private final Map<String, Held> answered = new HashMap<>();
     private final Counters counters = new Counters();
+    private final UnrecordedCalls unrecordedCalls;
     private final Figures figures;
     /** Those that this process takes over from, while it still has something to hear from them. */
     private final List<Predecessor> predecessors = new ArrayList<>();
@@ -125,6 +141,8 @@
     private Leaving leaving;
     /** What operators have taken out or put back of late, by the endpoints' names; the folder holds it. */
     private Map<String, Long> marks = Map.of();
+    /** The last look at the folder failed. */
+    private boolean marksUnreadable;
 
     private final Marks folder;
     private Runnable relief = () -> {};
@@ -139,6 +157,7 @@
         this.clock = clock;
         this.folder = new Marks(config.state(), config.settings().guarantees().coldUs());
         this.endpoints = new Endpoints(config, loop, clock, this);
+        this.unrecordedCalls = new UnrecordedCalls(clock, endpoints, this::recordAttempts, this::mayCall);
         this.discovery = new Discovery(config, loop, this);
         final int mostResting =
                 MemoryBudget.destinationsAtRest(Runtime.getRuntime().maxMemory());
@@ -186,9 +205,13 @@
         try {
             found = folder.read(clock.persistentUs());
         } catch (final IOException e) {
-            Log.info("cannot read which endpoints are out: " + e.getMessage());
+            if (!marksUnreadable) {
+                Log.info("cannot read which endpoints are out, what was read before holds: " + e.getMessage());
+            }
+            marksUnreadable = true;
             return;
         }
+        marksUnreadable = false;
         if (!found.equals(marks)) {
             final Set<String> changed = new HashSet<>(found.keySet());
             changed.removeIf(host -> found.get(host).equals(marks.get(host)));
@@ -219,12 +242,16 @@
         discovery.whenHeard(begin);
     }
 
-    /** Takes up what an earlier process held, and decides from now on. Runs on the event loop. */
+    /**
+     * Takes up what an earlier process held, and decides from now on. Runs on the event loop.
+     *
+     * @throws IOException if the folder cannot be read now; nothing has been taken up then
+     */
     void start(final Journal owned) throws IOException {
+        predecessors.addAll(Predecessor.all(config.state(), clock, owned));
         journal = owned;
         discovery.keep();
         look();
-        predecessors.addAll(Predecessor.all(config.state(), clock, journal));
         int resumed = 0;
         for (final Held held : journal.live()) {
             resumed += takeUp(held) ? 1 : 0;
@@ -235,6 +262,7 @@
         hear();
         Log.info(config.describe());
         loop.scheduleWithFixedDelay(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
+        loop.scheduleWithFixedDelay(this::flushJournal, FLUSH_MS, FLUSH_MS, TimeUnit.MILLISECONDS);
         followPredecessors();
         touch();
     }
@@ -375,9 +403,8 @@
      * what clients still hand in, through the file.
      */
     void leave(final Leaving file) throws IOException {
-        answer();
-        notices.drop();
-        discovery.keepNoMore();
+        unrecordedCalls.holdBack(endpoint -> true);
+        journal.flush();
         for (final Courier.Endpoint entry : discovery.entries()) {
             final Courier.Standing standing = control.standing(clock.nowUs(), entry.id());
             if (!standing.figures().isEmpty()) {
@@ -390,20 +417,39 @@
                 file.out(open.held.id, there == null ? "" : there);
             }
         }
+        // From here on nothing can fail any more: a process that cannot hand over goes on as before.
+        answer();
+        notices.drop();
+        discovery.keepNoMore();
         leaving = file;
         endpoints.wind();
-        journal.close();
+        try {
+            journal.close();
+        } catch (final IOException e) {
+            Log.info("the journal cannot be closed: " + e.getMessage());
+        }
         Log.info("leaves: another process goes on with " + messages.size() + " messages, " + endpoints.describe());
     }
 
     /** While it leaves, a message is only handed on; its client is answered once the file has it. */
     private void handOn(final Held held, final Reply reply) {
-        if (leaving.take(held)) {
+        final Journal.Admission admission = leaving.take(held);
+        if (admission == Journal.Admission.TAKEN) {
             counters.taken();
             handedOn.add(held.id);
             reply.accepted();
         } else {
-            turnAway(held.className);
+            notTaken(held, admission, reply);
+        }
+    }
+
+    /** Nothing is promised of a message that the next process may find although it could not be taken on. */
+    private void notTaken(final Held held, final Journal.Admission admission, final Reply reply) {
+        turnAway(held.className);
+        if (admission == Journal.Admission.UNCERTAIN) {
+            Log.info("message " + held.id + " is answered as failed: its record may have been written");
+            reply.failed();
+        } else {
             reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
         }
     }
@@ -452,9 +498,10 @@
         }
         // One of the same key may have been handed in at the process that leaves just before.
         hear();
-        if (messages.size() >= config.settings().limits().maxOpen() || !journal.take(held)) {
-            turnAway(held.className);
-            reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
+        final boolean full = messages.size() >= config.settings().limits().maxOpen();
+        final Journal.Admission admission = full ? Journal.Admission.REFUSED : journal.take(held);
+        if (admission != Journal.Admission.TAKEN) {
+            notTaken(held, admission, reply);
             return;
         }
         final int index = classes.get(held.className);
@@ -537,6 +584,10 @@
     /** An answer told to wait: that binds whether or not a message still hangs on it. */
     void waitTold(final long endpoint, final long waitUs) {
         if (leaving == null) {
+            final Courier.Endpoint told = discovery.endpoint(endpoint);
+            if (told != null) {
+                unrecordedCalls.holdBack(other -> isOf(told.destination(), other));
+            }
             control.onWait(clock.nowUs(), endpoint, waitUs);
             touch();
         }
@@ -656,21 +707,40 @@
         for (int from = 0; from < parcels.size(); from += most) {
             final List<Parcel> some = parcels.subList(from, Math.min(parcels.size(), from + most));
             final Endpoints.Call call = endpoints.prepare(endpoint, some);
-            boolean recorded = true;
             for (final Parcel parcel : some) {
-                parcel.open().call = call;
+                parcel.open().goesBy(call);
                 parcel.open().firstSentUs = parcel.open().firstSentUs == 0 ? clock.nowUs() : parcel.open().firstSentUs;
-                recorded &= journal.begin(parcel.open().held, clock.persistentUs(), discovery.zone(endpoint));
             }
-            if (recorded) {
+            if (recordAttempts(endpoint, some)) {
                 endpoints.start(call);
             } else {
                 // An attempt that the journal does not know of would be forgotten by a restart.
-                loop.execute(() -> endpoints.abandon(call, Courier.Result.NOT_SENT));
+                unrecordedCalls.add(endpoint, some, call);
             }
         }
     }
 
+    private boolean recordAttempts(final long endpoint, final List<Parcel> parcels) {
+        boolean recorded = true;
+        for (final Parcel parcel : parcels) {
+            final Held held = parcel.open().held;
+            recorded &= held.isOut() || journal.begin(held, clock.persistentUs(), discovery.zone(endpoint));
+        }
+        return recorded;
+    }
+
+    private boolean mayCall(final long endpoint) {
+        final Courier.Endpoint entry = discovery.endpoint(endpoint);
+        return entry != null
+                && entry.condition() == Courier.Condition.LISTED
+                && !Objects.equals(marks.get(discovery.nameOf(endpoint)), Marks.OUT);
+    }
+
+    private boolean isOf(final long destination, final long endpoint) {
+        final Courier.Endpoint entry = discovery.endpoint(endpoint);
+        return entry == null || entry.destination() == destination;
+    }
+
     private boolean isWithdrawn(final Parcel parcel) {
         if (parcel.open().over) {
             control.onOutcome(
@@ -715,9 +785,14 @@
             end(open, new Held.Notice(false, retryAfterUs / US_PER_MS));
         } else {
             final Reply reply = open.reply;
-            forget(open);
+            final boolean recorded = forget(open);
             ended(open, new Held.Notice(false, retryAfterUs / US_PER_MS));
-            reply.refused(Intake.TOO_MANY, retryAfterUs);
+            if (recorded) {
+                reply.refused(Intake.TOO_MANY, retryAfterUs);
+            } else {
+                // The next process would go on with it.
+                reply.failed();
+            }
         }
     }
 
@@ -741,19 +816,48 @@
     private void end(final Open open, final Held.Notice notice) {
         open.over = true;
         messages.remove(open.held.id);
-        journal.owe(open.held, notice);
-        owe(open.held);
+        if (journal.owe(open.held, notice)) {
+            notices.add(open.held);
+        } else {
+            unrecorded.add(open);
+        }
+        blockKey(open.held);
         ended(open, notice);
     }
 
     /** A notice is due; a key's next message waits until it is answered. */
     private void owe(final Held held) {
         notices.add(held);
+        blockKey(held);
+    }
+
+    private void blockKey(final Held held) {
         if (held.orderKey != null) {
             control.onNoticeOwed(clock.nowUs(), held.id, held.orderKey);
         }
     }
 
+    /**
+     * Records what waited for the folder. An end that is not recorded is told once the message's time is up: until then
+     * a kill would make the next process go on with the message.
+     */
+    private void flushJournal() {
+        if (leaving != null) {
+            return;
+        }
+        final boolean recorded = journal.flush();
+        unrecordedCalls.retry();
+        if (unrecorded.isEmpty()) {
+            return;
+        }
+        final List<Open> due = unrecorded.stream()
+                .filter(open -> recorded || clock.nowUs() >= open.endUs())
+                .toList();
+        unrecorded.removeAll(due);
+        due.forEach(open -> notices.add(open.held));
+        notices.flush();
+    }
+
     /** A message that was not delivered is worth a line: what became of it, and how its destination stood. */
     private void ended(final Open open, final Held.Notice notice) {
         final long nowUs = clock.nowUs();
@@ -792,11 +896,12 @@
         return figures;
     }
 
-    private void forget(final Open open) {
+    /** Nothing is owed for a message any more; false while the journal could not record that. */
+    private boolean forget(final Open open) {
         open.over = true;
         open.reply = null;
         messages.remove(open.held.id);
-        journal.over(open.held);
+        return journal.over(open.held);
     }
 
     @Override
@@ -840,6 +945,6 @@
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return leaving == null ? messages.isEmpty() && notices.isEmpty() : endpoints.isQuiet();
+        return leaving == null ? messages.isEmpty() && unrecorded.isEmpty() && notices.isEmpty() : endpoints.isQuiet();
     }
 }
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -5,10 +5,14 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +22,10 @@
  * what a kill cut off at its end is dropped. When the file has grown to its bound, what is
  * still owed is written to a new file that takes its place at once. Nothing is synced: the folder outlasts the process,
  * and a machine that is lost loses the folder as well.
+ *
+ * <p>The folder may fail for a while. A message is taken on and an attempt is begun only where its record is written.
+ * How messages fare is recorded as soon as the folder lets it: until then these records wait in their order, and
+ * nothing is written ahead of them.
  */
 final class Journal implements AutoCloseable {
     private static final String FILE = "journal";
@@ -47,9 +55,15 @@
     /** How far the files of processes that leave have been read, by their names. */
     private final Map<String, Long> readTo = new LinkedHashMap<>();
 
-    private FileChannel file;
-    private long size;
+    /** Records on how messages fared that could not be written yet. */
+    private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
+
+    private RecordFile file;
+    /** A compacted file whose renaming failed, while it is not known whether it took effect; or null. */
+    private RecordFile replacement;
+
     private long liveBytes;
+    private boolean failing;
 
     private Journal(final Path folder, final long diskBytes, final MemoryBudget memory) {
         this.folder = folder;
@@ -71,9 +85,14 @@
         Files.createDirectories(folder);
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(folder.resolve(NEXT_FILE));
-        journal.file = FileChannel.open(
+        final FileChannel file = FileChannel.open(
                 folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        journal.load();
+        try {
+            journal.load(file);
+        } catch (final IOException e) {
+            file.close();
+            throw e;
+        }
         return journal;
     }
 
@@ -82,24 +101,35 @@
         return List.copyOf(live.values());
     }
 
-    /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
-    boolean take(final Held held) {
+    /** Whether a message that a client hands in is taken on. */
+    enum Admission {
+        /** It is recorded. */
+        TAKEN,
+        /** There is no room for it, or it could not be recorded: the next process does not know of it. */
+        REFUSED,
+        /** It is not held here, but the next process may find it. */
+        UNCERTAIN
+    }
+
+    /** Records a message that is taken on; nothing is taken if there is no room for it. */
+    Admission take(final Held held) {
         final long bytes = bytes(held);
         if (liveBytes + bytes > TAKE_SHARE * fileBytes || !memory.admit(held)) {
-            return false;
+            return Admission.REFUSED;
         }
-        if (!append(taken(held))) {
+        final RecordFile.Append append = append(taken(held));
+        if (append != RecordFile.Append.WRITTEN) {
             memory.release(held);
-            return false;
+            return append == RecordFile.Append.UNCERTAIN ? Admission.UNCERTAIN : Admission.REFUSED;
         }
         live.put(held.id, held);
         liveBytes += bytes;
-        return true;
+        return Admission.TAKEN;
     }
 
     /** Records a message that a leaving process took on: it is owed its end whether or not it is too much. */
     boolean takeOver(final Held held) {
-        if (!append(taken(held))) {
+        if (append(taken(held)) != RecordFile.Append.WRITTEN) {
             return false;
         }
         live.put(held.id, held);
@@ -110,10 +140,11 @@
 
     /** Records an attempt, before its call's first byte; false if that failed, and then it may not be made. */
     boolean begin(final Held held, final long persistentUs, final String zone) {
-        if (!append(Records.of(BEGUN, held.id, out -> {
+        final ByteBuffer begun = Records.of(BEGUN, held.id, out -> {
             out.writeLong(persistentUs);
             out.writeUTF(zone);
-        }))) {
+        });
+        if (append(begun) != RecordFile.Append.WRITTEN) {
             return false;
         }
         held.begin(persistentUs, zone);
@@ -123,28 +154,32 @@
     /** Records the outcome of an attempt. */
     void settle(final Held held, final boolean neverRan) {
         held.settle(neverRan);
-        append(Records.of(SETTLED, held.id, out -> out.writeBoolean(neverRan)));
+        note(Records.of(SETTLED, held.id, out -> out.writeBoolean(neverRan)));
     }
 
-    /** Records that a message has ended and that only its notice is still owed. */
-    void owe(final Held held, final Held.Notice notice) {
+    /**
+     * Records that a message has ended and that only its notice is still owed; false while that waits for the folder:
+     * the next process would go on with the message.
+     */
+    boolean owe(final Held held, final Held.Notice notice) {
         held.owe(notice);
-        append(owed(held));
+        return note(owed(held));
     }
 
-    /** Records that nothing is owed for a message any more. */
-    void over(final Held held) {
-        if (live.remove(held.id) != null) {
-            liveBytes -= bytes(held);
-            memory.release(held);
-            append(Records.of(OVER, held.id, out -> {}));
+    /** Records that nothing is owed for a message any more; false while that waits for the folder. */
+    boolean over(final Held held) {
+        if (live.remove(held.id) == null) {
+            return true;
         }
+        liveBytes -= bytes(held);
+        memory.release(held);
+        return note(Records.of(OVER, held.id, out -> {}));
     }
 
     /** Records that a leaving process's file is taken up so far, or that it is gone. */
     void read(final String name, final long position) {
         heard(name, position);
-        append(Records.of(READ, name, out -> out.writeLong(position)));
+        note(Records.of(READ, name, out -> out.writeLong(position)));
     }
 
     /** How far a leaving process's file had been taken up. */
@@ -165,8 +200,10 @@
         return live.containsKey(id);
     }
 
+    /** Closes the file; what it held is not charged to the memory any more. */
     @Override
     public void close() throws IOException {
+        live.values().forEach(memory::release);
         file.close();
     }
 
@@ -204,18 +241,47 @@
         });
     }
 
-    private boolean append(final ByteBuffer record) {
+    private RecordFile.Append append(final ByteBuffer record) {
+        return flush() ? write(record) : RecordFile.Append.NOT_WRITTEN;
+    }
+
+    /** Writes a record now or as soon as that can be done; true if it is written. */
+    private boolean note(final ByteBuffer record) {
+        backlog.add(record);
+        return flush();
+    }
+
+    /** Writes what waits for the folder; true if nothing waits any more. */
+    boolean flush() {
+        while (!backlog.isEmpty() && write(backlog.peek()) == RecordFile.Append.WRITTEN) {
+            backlog.remove();
+        }
+        return backlog.isEmpty() && file.clean(this::failed);
+    }
+
+    private RecordFile.Append write(final ByteBuffer record) {
         try {
-            if (size + record.capacity() > fileBytes) {
+            settleReplacement();
+            if (file.size() + record.capacity() > fileBytes) {
                 compact();
             }
-            Records.write(file, record, size);
-            size += record.capacity();
-            return true;
         } catch (final IOException e) {
-            Log.info("journal: cannot write: " + e.getMessage());
-            return false;
+            failed(e);
+            return RecordFile.Append.NOT_WRITTEN;
+        }
+        final RecordFile.Append append = file.append(record, this::failed);
+        if (append == RecordFile.Append.WRITTEN && failing) {
+            failing = false;
+            Log.info("journal: can be written again");
+        }
+        return append;
+    }
+
+    private void failed(final IOException cause) {
+        if (!failing) {
+            Log.info("journal: cannot write: " + cause.getMessage());
         }
+        failing = true;
     }
 
     /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
@@ -227,34 +293,76 @@
                 StandardOpenOption.TRUNCATE_EXISTING,
                 StandardOpenOption.READ,
                 StandardOpenOption.WRITE);
-        long written = 0;
+        final RecordFile compacted;
         try {
-            for (final Held held : live.values()) {
-                written = copy(fresh, taken(held), written);
-                if (held.isOut()) {
-                    written = copy(
-                            fresh,
-                            Records.of(BEGUN, held.id, out -> {
-                                out.writeLong(held.outPersistentUs());
-                                out.writeUTF(held.outZone());
-                            }),
-                            written);
-                }
-                if (held.notice() != null) {
-                    written = copy(fresh, owed(held), written);
-                }
-            }
-            for (final Map.Entry<String, Long> read : readTo.entrySet()) {
-                written = copy(fresh, Records.of(READ, read.getKey(), out -> out.writeLong(read.getValue())), written);
-            }
-            Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+            compacted = new RecordFile(fresh, writeLive(fresh));
         } catch (final IOException e) {
             fresh.close();
             throw e;
         }
-        file.close();
-        file = fresh;
-        size = written;
+        try {
+            Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+        } catch (final IOException e) {
+            replacement = compacted;
+            failed(e);
+            settleReplacement();
+            return;
+        }
+        replaceWith(compacted);
+    }
+
+    /** A rename that failed may have taken effect: the file's new name tells. */
+    private void settleReplacement() throws IOException {
+        if (replacement == null) {
+            return;
+        }
+        final RecordFile compacted = replacement;
+        boolean renamed = false;
+        try {
+            Files.readAttributes(folder.resolve(NEXT_FILE), BasicFileAttributes.class);
+        } catch (final NoSuchFileException e) {
+            renamed = true;
+        }
+        replacement = null;
+        if (renamed) {
+            replaceWith(compacted);
+        } else {
+            compacted.close();
+            throw new IOException("a compacted file could not be renamed");
+        }
+    }
+
+    private void replaceWith(final RecordFile compacted) {
+        final RecordFile old = file;
+        file = compacted;
+        try {
+            old.close();
+        } catch (final IOException e) {
+            failed(e);
+        }
+    }
+
+    private long writeLive(final FileChannel fresh) throws IOException {
+        long written = 0;
+        for (final Held held : live.values()) {
+            written = copy(fresh, taken(held), written);
+            if (held.isOut()) {
+                written = copy(
+                        fresh,
+                        Records.of(BEGUN, held.id, out -> {
+                            out.writeLong(held.outPersistentUs());
+                            out.writeUTF(held.outZone());
+                        }),
+                        written);
+            }
+            if (held.notice() != null) {
+                written = copy(fresh, owed(held), written);
+            }
+        }
+        for (final Map.Entry<String, Long> read : readTo.entrySet()) {
+            written = copy(fresh, Records.of(READ, read.getKey(), out -> out.writeLong(read.getValue())), written);
+        }
+        return written;
     }
 
     private static long copy(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
@@ -264,13 +372,14 @@
 
     // ---------------------------------------------------------------- reading
 
-    private void load() throws IOException {
-        size = Records.read(file, 0, this::apply);
+    private void load(final FileChannel found) throws IOException {
+        final long size = Records.read(found, 0, this::apply);
         // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
-        if (size < file.size()) {
-            Log.info("journal: cut " + (file.size() - size) + " bytes of a torn tail at " + size);
-            file.truncate(size);
+        if (size < found.size()) {
+            Log.info("journal: cut " + (found.size() - size) + " bytes of a torn tail at " + size);
+            found.truncate(size);
         }
+        file = new RecordFile(found, size);
         liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
         live.values().forEach(memory::charge);
         if (memory.usedBytes() > memory.capacityBytes()) {
--- a/src/main/java/driftchute/node/Leaving.java
+++ b/src/main/java/driftchute/node/Leaving.java
@@ -3,6 +3,7 @@
 import driftchute.Courier;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.file.Path;
@@ -25,14 +26,13 @@
     private static final double FILE_SHARE = 0.15;
 
     private final Clock clock;
-    private final FileChannel file;
+    private final RecordFile file;
     /** Held until the process ends, by whatever end: nothing in it ever lets go. */
     private final FileLock alive;
 
     private final long mostBytes;
-    private long size;
 
-    private Leaving(final Clock clock, final FileChannel file, final FileLock alive, final long mostBytes) {
+    private Leaving(final Clock clock, final RecordFile file, final FileLock alive, final long mostBytes) {
         this.clock = clock;
         this.file = file;
         this.alive = alive;
@@ -43,8 +43,9 @@
     static Leaving begin(final Path folder, final Clock clock, final long diskBytes) throws IOException {
         final Path path = folder.resolve(
                 PREFIX + clock.persistentUs() + "-" + ProcessHandle.current().pid());
-        final FileChannel file = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-        return new Leaving(clock, file, file.lock(), (long) (FILE_SHARE * diskBytes));
+        final FileChannel file = FileChannel.open(
+                path, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        return new Leaving(clock, new RecordFile(file, 0), file.lock(), (long) (FILE_SHARE * diskBytes));
     }
 
     /** False once the lock is lost, and with it what tells that this process lives. */
@@ -91,21 +92,21 @@
         }
     }
 
-    /** A message that a client handed in here after all; false, and nothing taken, if there is no room for it. */
-    boolean take(final Held held) {
-        try {
-            final var record = Journal.taken(held);
-            if (size + record.capacity() > mostBytes) {
-                return false;
-            }
-            final int bytes = record.capacity();
-            Records.write(file, record, size);
-            size += bytes;
-            return true;
-        } catch (final IOException e) {
-            Log.info("leaving: cannot write: " + e.getMessage());
-            return false;
+    /** A message that a client handed in here after all; nothing is taken if there is no room for it. */
+    Journal.Admission take(final Held held) {
+        final ByteBuffer record = Journal.taken(held);
+        if (file.size() + record.capacity() > mostBytes) {
+            return Journal.Admission.REFUSED;
         }
+        return switch (file.append(record, Leaving::failed)) {
+            case WRITTEN -> Journal.Admission.TAKEN;
+            case NOT_WRITTEN -> Journal.Admission.REFUSED;
+            case UNCERTAIN -> Journal.Admission.UNCERTAIN;
+        };
+    }
+
+    private static void failed(final IOException cause) {
+        Log.info("leaving: cannot write: " + cause.getMessage());
     }
 
     /** Its client went before it was answered. */
@@ -114,9 +115,9 @@
     }
 
     private void append(final byte type, final String id, final Records.Content content) throws IOException {
-        final var record = Records.of(type, id, content);
-        final int bytes = record.capacity();
-        Records.write(file, record, size);
-        size += bytes;
+        final RecordFile.Append append = file.append(Records.of(type, id, content), Leaving::failed);
+        if (append != RecordFile.Append.WRITTEN) {
+            throw new IOException("the file of a process that leaves takes no record");
+        }
     }
 }
--- a/src/main/java/driftchute/node/Marks.java
+++ b/src/main/java/driftchute/node/Marks.java
@@ -4,6 +4,8 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -62,14 +64,16 @@
 
     /** The endpoints that are out, and since when (in persistent time) the others are back that may still be cold. */
     Map<String, Long> read(final long persistentUs) throws IOException {
-        final String[] names = folder.toFile().list();
-        if (names == null) {
+        final Map<String, Long> marks = new HashMap<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (final Path file : files) {
+                read(file, persistentUs, marks);
+            }
+        } catch (final NoSuchFileException e) {
             // Nobody has taken anything out yet.
             return Map.of();
-        }
-        final Map<String, Long> marks = new HashMap<>();
-        for (final String name : names) {
-            read(folder.resolve(name), persistentUs, marks);
+        } catch (final DirectoryIteratorException e) {
+            throw e.getCause();
         }
         return marks;
     }
--- a/src/main/java/driftchute/node/Records.java
+++ b/src/main/java/driftchute/node/Records.java
@@ -51,7 +51,11 @@
     static void write(final FileChannel to, final ByteBuffer record, final long at) throws IOException {
         long position = at;
         while (record.hasRemaining()) {
-            position += to.write(record, position);
+            final int count = to.write(record, position);
+            if (count <= 0) {
+                throw new IOException("the file takes no bytes");
+            }
+            position += count;
         }
     }
 
--- /dev/null
+++ b/src/main/java/driftchute/node/UnrecordedCalls.java
@@ -0,0 +1,90 @@
+package driftchute.node;
+
+import driftchute.Courier;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongPredicate;
+import java.util.function.Predicate;
+
+/**
+ * Calls that were decided while the journal could not record their attempts. They are begun as soon as it can: each
+ * attempt that is told as not sent counts as one of the few that a message has. A call is told as not sent once its
+ * time-out or a message's time is up, or its endpoint may not be called any more.
+ */
+final class UnrecordedCalls {
+    private final Clock clock;
+    private final Endpoints endpoints;
+    private final Recorder recorder;
+    private final LongPredicate mayCall;
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    /** Records the attempts of a call. */
+    interface Recorder {
+        /** False while the journal cannot; those that it could stay recorded. */
+        boolean record(long endpoint, List<Host.Parcel> parcels);
+    }
+
+    private record Waiting(long endpoint, List<Host.Parcel> parcels, Endpoints.Call call) {
+        /** Its messages that still wait for this call. */
+        List<Host.Parcel> open() {
+            return parcels.stream().filter(parcel -> parcel.open().isIn(call)).toList();
+        }
+
+        boolean isDue(final long nowUs) {
+            final long longestUs =
+                    parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
+            return nowUs - call.sentUs() >= longestUs
+                    || open().stream().anyMatch(parcel -> nowUs >= parcel.open().endUs());
+        }
+    }
+
+    /** {@code mayCall}: true for an endpoint that may get new calls. */
+    UnrecordedCalls(
+            final Clock clock, final Endpoints endpoints, final Recorder recorder, final LongPredicate mayCall) {
+        this.clock = clock;
+        this.endpoints = endpoints;
+        this.recorder = recorder;
+        this.mayCall = mayCall;
+    }
+
+    /** A call that is decided, and not recorded as a whole. */
+    void add(final long endpoint, final List<Host.Parcel> parcels, final Endpoints.Call call) {
+        waiting.add(new Waiting(endpoint, List.copyOf(parcels), call));
+    }
+
+    /** Begins what can be recorded now, and ends what has waited for too long. */
+    void retry() {
+        for (final Waiting one : List.copyOf(waiting)) {
+            final List<Host.Parcel> open = one.open();
+            if (open.isEmpty()) {
+                waiting.remove(one);
+            } else if (one.isDue(clock.nowUs()) || !mayCall.test(one.endpoint())) {
+                notSent(one);
+            } else if (recorder.record(one.endpoint(), open)) {
+                waiting.remove(one);
+                begin(one, open);
+            }
+        }
+    }
+
+    /** The call goes on as a new one, with what is left of its time. */
+    private void begin(final Waiting one, final List<Host.Parcel> open) {
+        final long waitedUs = clock.nowUs() - one.call().sentUs();
+        final List<Host.Parcel> rest = open.stream()
+                .map(parcel -> new Host.Parcel(parcel.open(), parcel.timeoutUs() - waitedUs, parcel.writeByUs()))
+                .toList();
+        final Endpoints.Call call = endpoints.prepare(one.endpoint(), rest);
+        rest.forEach(parcel -> parcel.open().goesBy(call));
+        endpoints.start(call);
+    }
+
+    /** These endpoints may not be called now: what waits for one of them is told as not sent. */
+    void holdBack(final Predicate<Long> bound) {
+        List.copyOf(waiting).stream().filter(one -> bound.test(one.endpoint())).forEach(this::notSent);
+    }
+
+    private void notSent(final Waiting one) {
+        waiting.remove(one);
+        endpoints.abandon(one.call(), Courier.Result.NOT_SENT);
+    }
+}
--- a/src/test/java/driftchute/node/JournalSlope.java
+++ b/src/test/java/driftchute/node/JournalSlope.java
@@ -86,7 +86,8 @@
             for (int index = 0; index < messages; index++) {
                 final String id = String.format("%016x", index);
                 final byte[] body = new byte[BODY_BYTES];
-                if (!journal.take(new Held(id, "notice", null, null, index % DESTINATIONS, FOREVER_US, body))) {
+                if (!JournalTest.takes(
+                        journal, new Held(id, "notice", null, null, index % DESTINATIONS, FOREVER_US, body))) {
                     throw new IllegalStateException("message " + index + " was not taken");
                 }
             }
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -27,6 +27,11 @@
         return new Held(id, "keyed", "key-" + id, null, 7, 5_000_000, new byte[bytes]);
     }
 
+    /** True if the journal takes that message on. */
+    static boolean takes(final Journal journal, final Held held) {
+        return journal.take(held) == Journal.Admission.TAKEN;
+    }
+
     private List<Held> reopened() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             return List.copyOf(journal.live());
@@ -39,7 +44,7 @@
             final Held sent = new Held("sent", "keyed", "k", "team-1", 7, 5_000_000, new byte[] {1, 2, 3});
             final Held over = held("over", 3);
             final Held ended = held("ended", 3);
-            Stream.of(sent, over, ended).forEach(one -> assertTrue(journal.take(one)));
+            Stream.of(sent, over, ended).forEach(one -> assertTrue(takes(journal, one)));
             assertTrue(journal.begin(sent, 1000, "a"));
             journal.settle(sent, true);
             assertTrue(journal.begin(sent, 2000, "b"));
@@ -65,8 +70,8 @@
     @Test
     void aTornTailIsCutAndWhatStandsBeforeItIsKept() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
-            assertTrue(journal.take(held("whole", 50)));
-            assertTrue(journal.take(held("torn", 50)));
+            assertTrue(takes(journal, held("whole", 50)));
+            assertTrue(takes(journal, held("torn", 50)));
         }
         final Path file = folder.resolve("journal");
         final byte[] all = Files.readAllBytes(file);
@@ -76,7 +81,7 @@
                     List.of("whole"), reopened().stream().map(one -> one.id).toList());
         }
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
-            assertTrue(journal.take(held("next", 50)));
+            assertTrue(takes(journal, held("next", 50)));
         }
         assertEquals(
                 List.of("whole", "next"), reopened().stream().map(one -> one.id).toList());
@@ -85,8 +90,8 @@
     @Test
     void aRecordThatDoesNotMatchItsSumIsTheEnd() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
-            assertTrue(journal.take(held("whole", 50)));
-            assertTrue(journal.take(held("spoilt", 50)));
+            assertTrue(takes(journal, held("whole", 50)));
+            assertTrue(takes(journal, held("spoilt", 50)));
         }
         final Path file = folder.resolve("journal");
         final byte[] all = Files.readAllBytes(file);
@@ -99,11 +104,11 @@
     void staysInsideItsDiskHoweverLongItRuns() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             final Held staying = held("staying", 500);
-            assertTrue(journal.take(staying));
+            assertTrue(takes(journal, staying));
             assertTrue(journal.begin(staying, 3000, "a"));
             for (int round = 0; round < 2000; round++) {
                 final Held passing = held("m" + round, 200);
-                assertTrue(journal.take(passing));
+                assertTrue(takes(journal, passing));
                 assertTrue(journal.begin(passing, round, "a"));
                 journal.settle(passing, false);
                 journal.over(passing);
@@ -119,7 +124,7 @@
     void takesNothingOnWhenItIsFullButStillRecordsEnds() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             int taken = 0;
-            while (taken < 1000 && journal.take(held("m" + taken, 1000))) {
+            while (taken < 1000 && takes(journal, held("m" + taken, 1000))) {
                 taken++;
             }
             assertTrue(taken > 10 && taken < 100, "taken: " + taken);
@@ -130,9 +135,9 @@
                 }
                 journal.owe(one, new Held.Notice(true, 0));
             }
-            assertFalse(journal.take(held("late", 1000)));
+            assertFalse(takes(journal, held("late", 1000)));
             journal.over(journal.live().iterator().next());
-            assertTrue(journal.take(held("later", 1000)));
+            assertTrue(takes(journal, held("later", 1000)));
             assertTrue(used() < DISK_BYTES, "used: " + used());
         }
     }
@@ -147,17 +152,17 @@
         final MemoryBudget memory = memoryFor(3, 100);
         try (Journal journal = Journal.open(folder, DISK_BYTES, memory)) {
             for (int index = 0; index < 3; index++) {
-                assertTrue(journal.take(held("m" + index, 100)));
+                assertTrue(takes(journal, held("m" + index, 100)));
             }
-            assertFalse(journal.take(held("m3", 100)));
+            assertFalse(takes(journal, held("m3", 100)));
             assertFalse(journal.holds("m3"), "what is refused is not held");
             final Held first = journal.live().iterator().next();
             journal.owe(first, new Held.Notice(true, 0));
-            assertFalse(journal.take(held("m3", 100)), "a notice that is owed is still held");
+            assertFalse(takes(journal, held("m3", 100)), "a notice that is owed is still held");
             journal.over(first);
             journal.over(first);
-            assertTrue(journal.take(held("m3", 100)));
-            assertFalse(journal.take(held("m4", 100)), "what is over twice is released once");
+            assertTrue(takes(journal, held("m3", 100)));
+            assertFalse(takes(journal, held("m4", 100)), "what is over twice is released once");
             journal.live().forEach(journal::over);
             assertEquals(0, memory.usedBytes());
         }
@@ -168,7 +173,7 @@
         final MemoryBudget memory = MemoryBudget.unlimited();
         try (Journal journal = Journal.open(folder, DISK_BYTES, memory)) {
             int taken = 0;
-            while (journal.take(held("m0" + taken, 1000))) {
+            while (takes(journal, held("m0" + taken, 1000))) {
                 taken++;
             }
             final long expected =
@@ -181,7 +186,7 @@
     void whatIsOwedIsHeldBeyondTheMemoryAndNothingNewIsTakenUntilItIsBelow() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
             for (int index = 0; index < 5; index++) {
-                assertTrue(journal.take(held("m" + index, 100)));
+                assertTrue(takes(journal, held("m" + index, 100)));
             }
             journal.over(journal.live().iterator().next());
         }
@@ -191,17 +196,17 @@
             assertEquals(4 * MemoryBudget.bytes(held("m0", 100)), memory.usedBytes(), "what was over is not charged");
             assertTrue(journal.takeOver(held("m5", 100)), "nor is what a process that leaves took on");
             for (int left = 5; left >= 3; left--) {
-                assertFalse(journal.take(held("m9", 100)), "held: " + left);
+                assertFalse(takes(journal, held("m9", 100)), "held: " + left);
                 journal.over(journal.live().iterator().next());
             }
-            assertTrue(journal.take(held("m9", 100)));
+            assertTrue(takes(journal, held("m9", 100)));
         }
     }
 
     @Test
     void anUnfinishedCompactionIsDropped() throws IOException {
         try (Journal journal = Journal.open(folder, DISK_BYTES)) {
-            assertTrue(journal.take(held("kept", 50)));
+            assertTrue(takes(journal, held("kept", 50)));
         }
         Files.write(folder.resolve("journal.next"), new byte[] {1, 2, 3}, StandardOpenOption.CREATE);
         assertEquals(List.of("kept"), reopened().stream().map(one -> one.id).toList());
--- a/src/test/java/driftchute/node/MemoryCrossingsTest.java
+++ b/src/test/java/driftchute/node/MemoryCrossingsTest.java
@@ -75,7 +75,8 @@
             final long validUntilUs = (System.currentTimeMillis() + 60_000) * 1000;
             final byte[] body = "x".repeat(BODY_BYTES).getBytes(StandardCharsets.ISO_8859_1);
             for (int index = 0; index < fits; index++) {
-                assertTrue(journal.take(new Held("m" + index, "safe", null, null, 7, validUntilUs, body)));
+                assertTrue(
+                        JournalTest.takes(journal, new Held("m" + index, "safe", null, null, 7, validUntilUs, body)));
             }
         }
         rig.start();
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -58,6 +58,9 @@
     /** Whether the courier has a second address. */
     boolean mgmt;
 
+    /** Faults that its processes are started with, or null. */
+    FaultPage faults;
+
     long connectTimeoutUs = 1_000_000;
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
@@ -264,6 +267,9 @@
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
+        if (faults != null) {
+            builder.environment().putAll(faults.environment());
+        }
         process = builder.redirectErrorStream(true).start();
         processes.add(process);
         final BufferedReader out =
--- /dev/null
+++ b/src/test/native/faults.c
@@ -0,0 +1,234 @@
+/*
+ * Preloaded into a courier by tests: makes calls on the state folder and on sockets fail, and steps the wall clock, as a
+ * shared page of numbers tells. FAULTS_PAGE names the file of that page, FAULTS_FOLDER the state folder.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <sys/types.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Numbers of the page, as FaultPage.java names them. */
+enum {
+    CLOCK_STEP_S, OPEN_ERRNO, READ_ERRNO, WRITE_ERRNO, WRITE_EFFECT, WRITE_SHORT, RENAME_ERRNO, RENAME_EFFECT,
+    TRUNCATE_ERRNO, UNLINK_ERRNO, ACCEPT_ERRNO, CONNECT_ERRNO, SOCKET_ERRNO, BIND_ERRNO, RECEIVE_ERRNO, ONE_IN, NUMBERS
+};
+
+#define MOST_FILES 4096
+
+static volatile int64_t none[NUMBERS];
+static volatile int64_t *page = none;
+static const char *folder;
+static unsigned char in_folder[MOST_FILES];
+static unsigned calls;
+
+__attribute__((constructor)) static void begin(void) {
+    const char *name = getenv("FAULTS_PAGE");
+    folder = getenv("FAULTS_FOLDER");
+    if (name == NULL) {
+        return;
+    }
+    int (*real_open)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
+    int file = real_open(name, O_RDONLY);
+    void *mapped = mmap(NULL, NUMBERS * sizeof(int64_t), PROT_READ, MAP_SHARED, file, 0);
+    if (mapped != MAP_FAILED) {
+        page = mapped;
+    }
+    close(file);
+}
+
+/* The error that a call of that kind fails with now, or 0; one call in so many where the page says so. */
+static int fault(int kind) {
+    int64_t error = page[kind];
+    if (error == 0) {
+        return 0;
+    }
+    int64_t one_in = page[ONE_IN];
+    return one_in > 1 && __sync_add_and_fetch(&calls, 1) % one_in != 0 ? 0 : (int) error;
+}
+
+static int is_ours(int file) {
+    return file >= 0 && file < MOST_FILES && in_folder[file];
+}
+
+static int names_folder(const char *path) {
+    return folder != NULL && path != NULL && strncmp(path, folder, strlen(folder)) == 0;
+}
+
+#define REAL(type, name, ...) \
+    static type (*real)(__VA_ARGS__); \
+    if (real == NULL) { \
+        real = (type (*)(__VA_ARGS__)) dlsym(RTLD_NEXT, #name); \
+    }
+
+#define FAIL(kind) \
+    do { \
+        int error = fault(kind); \
+        if (error != 0) { \
+            errno = error; \
+            return -1; \
+        } \
+    } while (0)
+
+#define OPEN(name) \
+    int name(const char *path, int flags, ...) { \
+        REAL(int, name, const char *, int, ...) \
+        va_list rest; \
+        va_start(rest, flags); \
+        int mode = va_arg(rest, int); \
+        va_end(rest); \
+        int ours = names_folder(path); \
+        if (ours) { \
+            FAIL(OPEN_ERRNO); \
+        } \
+        int file = real(path, flags, mode); \
+        if (file >= 0 && file < MOST_FILES) { \
+            in_folder[file] = ours; \
+        } \
+        return file; \
+    }
+OPEN(open)
+OPEN(open64)
+
+int close(int file) {
+    REAL(int, close, int)
+    if (file >= 0 && file < MOST_FILES) {
+        in_folder[file] = 0;
+    }
+    return real(file);
+}
+
+static int is_socket(int file) {
+    struct stat status;
+    return fstat(file, &status) == 0 && S_ISSOCK(status.st_mode);
+}
+
+ssize_t read(int file, void *into, size_t count) {
+    REAL(ssize_t, read, int, void *, size_t)
+    if (is_ours(file)) {
+        FAIL(READ_ERRNO);
+    } else if (page[RECEIVE_ERRNO] != 0 && is_socket(file)) {
+        FAIL(RECEIVE_ERRNO);
+    }
+    return real(file, into, count);
+}
+
+#define PREAD(name) \
+    ssize_t name(int file, void *into, size_t count, off64_t at) { \
+        REAL(ssize_t, name, int, void *, size_t, off64_t) \
+        if (is_ours(file)) { \
+            FAIL(READ_ERRNO); \
+        } \
+        return real(file, into, count, at); \
+    }
+PREAD(pread)
+PREAD(pread64)
+
+/* How many bytes a write takes: as the page bounds it, and as many as it says where the call fails. */
+static size_t taken(size_t count, int error) {
+    int64_t most = error != 0 ? page[WRITE_EFFECT] : page[WRITE_SHORT] > 0 ? page[WRITE_SHORT] : (int64_t) count;
+    return most < 0 || (uint64_t) most > count ? count : (size_t) most;
+}
+
+#define PWRITE(name) \
+    ssize_t name(int file, const void *from, size_t count, off64_t at) { \
+        REAL(ssize_t, name, int, const void *, size_t, off64_t) \
+        if (!is_ours(file)) { \
+            return real(file, from, count, at); \
+        } \
+        int error = fault(WRITE_ERRNO); \
+        size_t some = taken(count, error); \
+        ssize_t result = some > 0 ? real(file, from, some, at) : 0; \
+        if (error != 0) { \
+            errno = error; \
+            return -1; \
+        } \
+        return result; \
+    }
+PWRITE(pwrite)
+PWRITE(pwrite64)
+
+int rename(const char *from, const char *to) {
+    REAL(int, rename, const char *, const char *)
+    int error = names_folder(from) ? fault(RENAME_ERRNO) : 0;
+    if (error == 0) {
+        return real(from, to);
+    }
+    if (page[RENAME_EFFECT] != 0) {
+        real(from, to);
+    }
+    errno = error;
+    return -1;
+}
+
+#define TRUNCATE(name) \
+    int name(int file, off64_t size) { \
+        REAL(int, name, int, off64_t) \
+        if (is_ours(file)) { \
+            FAIL(TRUNCATE_ERRNO); \
+        } \
+        return real(file, size); \
+    }
+TRUNCATE(ftruncate)
+TRUNCATE(ftruncate64)
+
+int unlink(const char *path) {
+    REAL(int, unlink, const char *)
+    if (names_folder(path)) {
+        FAIL(UNLINK_ERRNO);
+    }
+    return real(path);
+}
+
+int accept(int file, struct sockaddr *address, socklen_t *length) {
+    REAL(int, accept, int, struct sockaddr *, socklen_t *)
+    FAIL(ACCEPT_ERRNO);
+    return real(file, address, length);
+}
+
+int connect(int file, const struct sockaddr *address, socklen_t length) {
+    REAL(int, connect, int, const struct sockaddr *, socklen_t)
+    FAIL(CONNECT_ERRNO);
+    return real(file, address, length);
+}
+
+int socket(int domain, int type, int protocol) {
+    REAL(int, socket, int, int, int)
+    FAIL(SOCKET_ERRNO);
+    return real(domain, type, protocol);
+}
+
+int bind(int file, const struct sockaddr *address, socklen_t length) {
+    REAL(int, bind, int, const struct sockaddr *, socklen_t)
+    FAIL(BIND_ERRNO);
+    return real(file, address, length);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    REAL(int, clock_gettime, clockid_t, struct timespec *)
+    int result = real(clock, now);
+    if (result == 0 && clock == CLOCK_REALTIME) {
+        now->tv_sec += page[CLOCK_STEP_S];
+    }
+    return result;
+}
+
+int gettimeofday(struct timeval *restrict now, void *restrict zone) {
+    REAL(int, gettimeofday, struct timeval *restrict, void *restrict)
+    int result = real(now, zone);
+    if (result == 0) {
+        now->tv_sec += page[CLOCK_STEP_S];
+    }
+    return result;
+}
