After a pause the sockets are read before anything new is sent

Cause: timers that fell due meanwhile run ahead of the next pass over the sockets, and their decisions sent at once; so did calls whose connection had come up. Change: StallDetector tells that the loop stood still for over 200 ms; the pass and the first write on a new connection then wait for the next pass over the sockets (2 ms).

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -76,6 +76,7 @@
     private static final int NO_MORE = 504;
 
     private final Clock clock;
+    private final StallDetector stalls;
     private final EventLoop loop;
     private final Host host;
     private final Bootstrap bootstrap;
@@ -94,8 +95,10 @@
     /** How a message fared in a call. {@code waitUs}: what the answer told to wait, or 0. */
     record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) {}
 
-    Endpoints(final Config config, final EventLoop loop, final Clock clock, final Host host) {
+    Endpoints(
+            final Config config, final EventLoop loop, final Clock clock, final StallDetector stalls, final Host host) {
         this.clock = clock;
+        this.stalls = stalls;
         this.loop = loop;
         this.host = host;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
@@ -353,16 +356,22 @@
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
-            if (!calls.contains(call)) {
-                connecting.channel().close();
-            } else if (done.isSuccess()) {
-                connecting.channel().pipeline().get(Reader.class).write(call);
-            } else {
+            if (done.isSuccess()) {
+                stalls.afterReading(() -> connected(connecting.channel(), call));
+            } else if (calls.contains(call)) {
                 abandon(call, Result.NO_CONNECTION);
             }
         });
     }
 
+    private void connected(final Channel channel, final Call call) {
+        if (calls.contains(call)) {
+            channel.pipeline().get(Reader.class).write(call);
+        } else {
+            channel.close();
+        }
+    }
+
     /**
      * Ends a call from our side. Its connection, or our half of it, is closed before the outcome is told, so that no
      * further attempt of a message can meet this one.
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -132,6 +132,7 @@
     private final Map<String, Held> answered = new HashMap<>();
     private final Counters counters = new Counters();
     private final UnrecordedCalls unrecordedCalls;
+    private final StallDetector stalls;
     private final Figures figures;
     /** Those that this process takes over from, while it still has something to hear from them. */
     private final List<Predecessor> predecessors = new ArrayList<>();
@@ -156,7 +157,8 @@
         this.loop = loop;
         this.clock = clock;
         this.folder = new Marks(config.state(), config.settings().guarantees().coldUs());
-        this.endpoints = new Endpoints(config, loop, clock, this);
+        this.stalls = StallDetector.on(loop, clock);
+        this.endpoints = new Endpoints(config, loop, clock, stalls, this);
         this.unrecordedCalls = new UnrecordedCalls(clock, endpoints, this::recordAttempts, this::mayCall);
         this.discovery = new Discovery(config, loop, this);
         final int mostResting =
@@ -665,7 +667,7 @@
     private void touch() {
         if (!passDue) {
             passDue = true;
-            loop.execute(this::pass);
+            loop.execute(() -> stalls.afterReading(this::pass));
         }
     }
 
--- a/src/test/java/driftchute/node/SlowAgentTest.java
+++ b/src/test/java/driftchute/node/SlowAgentTest.java
@@ -133,4 +133,31 @@
         rig.signal("CONT");
         rig.await("the drain", this::isTold);
     }
+
+    @Test
+    void nothingIsSentToAnEndpointWhoseDrainLayUnreadWhileTheProcessStoodStill()
+            throws IOException, InterruptedException {
+        rig.discovery = "pushed";
+        rig.maxOpen = 1000;
+        rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
+        agent();
+        rig.start();
+        for (int round = 0; round < 6; round++) {
+            final FakeServer draining = round % 2 == 0 ? rig.first : rig.second;
+            for (int count = 0; count < 40; count++) {
+                assertEquals(202, rig.handIn("m" + round + "-" + count, "safe").status());
+            }
+            rig.signal("STOP");
+            final String list = Rig.host("e1", rig.first, round % 2 == 0 ? "Terminating" : "Ready") + ","
+                    + Rig.host("e2", rig.second, round % 2 == 0 ? "Ready" : "Terminating");
+            watches.get(watches.size() - 1).chunk(Rig.line(42 + round, list));
+            Thread.sleep(500);
+            final int before = draining.requests.size();
+            rig.signal("CONT");
+            final int version = 42 + round;
+            rig.await("the drain", () -> rig.log.stream().anyMatch(line -> line.startsWith("the list at " + version)));
+            Thread.sleep(300);
+            assertEquals(before, draining.requests.size(), "round " + round);
+        }
+    }
 }
