--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -28,19 +28,25 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tells the platform the ends of messages that were taken on and not delivered. One request at a time, with all that
- * is due; what is not confirmed is sent again until it is, since a notice about a message that is over does no harm.
- * A request that is not answered in time goes on beside the next one: a platform that is slow would never be heard if
- * each request were given up for a new one.
+ * Tells the platform the ends of messages that were taken on and not delivered. What is not confirmed is sent again
+ * until it is, since a notice about a message that is over does no harm.
+ *
+ * <p>The platform answers at once, so one connection carries one request after another. Where an answer is slow, what
+ * comes due meanwhile does not wait for it but goes on another connection, and the request stays open for its answer: a
+ * slow platform would never be heard if each request were given up for a new one.
  */
 final class Notices {
-    /** The answer comes at once; a platform that is silent so long is asked again on another connection. */
+    /** What comes due waits so long for the answer to the request before it. */
+    private static final int SLOW_MS = 100;
+    /** With so many requests unanswered what comes due waits as long again: they must not use up the connections. */
+    private static final int LATE_PER_WAIT = 4;
+    /** What has not been answered after this is told once more. */
     private static final int ANSWER_MS = 1000;
     /** How soon a request that failed is made again: a notice is due 300 ms after its message's time is up. */
     private static final int AGAIN_MS = 100;
     /** Requests without an answer, beside the one that is waited for. */
-    private static final int MOST_LATE = 5;
-    /** The oldest of them is given up after this, and so is a connection that does not come up. */
+    private static final int MOST_LATE = 16;
+    /** A request without an answer is given up after this, and so is a connection that does not come up. */
     private static final int PATIENCE_MS = 30_000;
 
     private static final int MOST_BODY_BYTES = 1 << 16;
@@ -133,11 +139,18 @@
                 fresh);
     }
 
-    /** What a request told and was not confirmed is due again, ahead of the rest, after a moment. */
-    private void again(final List<Held> told) {
+    /** What a request told is due again, ahead of the rest, unless it has been confirmed. */
+    private void dueAgain(final List<Held> told) {
         for (int index = told.size() - 1; index >= 0; index--) {
-            due.addFirst(told.get(index));
+            if (owed.contains(told.get(index))) {
+                due.addFirst(told.get(index));
+            }
         }
+    }
+
+    /** A request has failed: what it told is due again after a moment. */
+    private void again(final List<Held> told) {
+        dueAgain(told);
         loop.schedule(this::next, AGAIN_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -151,12 +164,12 @@
     }
 
     /** The oldest is kept longest: whatever time the platform takes to answer, one request lives to hear it. */
-    private void keepLate(final Line overdue) {
-        late.add(overdue);
+    private void keepLate(final Line slow) {
+        late.add(slow);
         if (late.size() > MOST_LATE) {
             late.get(1).close();
         }
-        loop.schedule(overdue::close, PATIENCE_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(slow::giveUp, PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
     private byte[] text(final Held held) {
@@ -177,7 +190,11 @@
         /** What the request that is out tells; null while none is. */
         private List<Held> told;
 
-        private ScheduledFuture<?> answerTimeout;
+        /** Lets what comes due go on another connection. */
+        private ScheduledFuture<?> slowAnswer;
+        /** Tells once more what this request tells. */
+        private ScheduledFuture<?> noAnswer;
+
         private boolean up;
 
         Line(final InetSocketAddress target) {
@@ -198,56 +215,67 @@
         }
 
         private void close() {
-            late.remove(this);
             if (context != null) {
                 context.close();
             }
         }
 
+        private void giveUp() {
+            if (late.contains(this)) {
+                close();
+            }
+        }
+
         private void connected() {
+            final boolean awaited = line == this;
             up = true;
             late.remove(this);
-            if (dropped || line != this && line != null && line.up) {
-                close();
-            } else if (!target.equals(address)) {
+            cancelTimers();
+            if (dropped || !target.equals(address) || line != null && !awaited) {
                 close();
-                if (line == this) {
-                    connect();
+                if (awaited) {
+                    line = null;
+                    next();
                 }
-            } else if (line == null) {
-                // A pause is under way, and its end sends what is due.
-                line = this;
+                return;
+            }
+            line = this;
+            if (awaited) {
+                next();
             } else {
-                line = this;
-                post();
+                flush();
             }
         }
 
-        /** The connection and the answer are waited for; after that another request goes beside it. */
+        /** The connection and the answer are waited for; what comes due goes elsewhere if that takes long. */
         private void awaitAnswer() {
-            cancelTimeout();
-            answerTimeout = loop.schedule(this::overdue, ANSWER_MS, TimeUnit.MILLISECONDS);
+            cancelTimers();
+            final int waitMs = SLOW_MS * (1 + late.size() / LATE_PER_WAIT);
+            slowAnswer = loop.schedule(this::isSlow, waitMs, TimeUnit.MILLISECONDS);
+            noAnswer = loop.schedule(this::isNotAnswered, ANSWER_MS, TimeUnit.MILLISECONDS);
         }
 
-        private void cancelTimeout() {
-            if (answerTimeout != null) {
-                answerTimeout.cancel(false);
+        private void cancelTimers() {
+            if (slowAnswer != null) {
+                slowAnswer.cancel(false);
+                noAnswer.cancel(false);
             }
         }
 
-        private void overdue() {
-            if (line != this) {
-                return;
+        private void isSlow() {
+            if (line == this) {
+                line = null;
+                keepLate(this);
+                next();
             }
-            line = null;
-            keepLate(this);
-            if (told == null) {
-                Log.info("no connection to the platform in " + ANSWER_MS + " ms: another one is opened beside it");
-                again(List.of());
-            } else {
+        }
+
+        private void isNotAnswered() {
+            if (told != null) {
                 Log.info("the platform has not answered " + told.size() + " notices in " + ANSWER_MS
                         + " ms: they are told again beside that request");
-                again(told);
+                dueAgain(told);
+                flush();
             }
         }
 
@@ -279,13 +307,21 @@
                 return;
             }
             final List<Held> answered = told;
-            final boolean current = line == this;
             told = null;
-            cancelTimeout();
-            if (!HttpUtil.isKeepAlive(answer) || !current) {
+            cancelTimers();
+            late.remove(this);
+            final boolean current = line == this;
+            final boolean reusable =
+                    HttpUtil.isKeepAlive(answer) && target.equals(address) && (current || line == null);
+            if (reusable) {
+                line = this;
+            } else {
                 close();
             }
-            final int status = answer.status().code();
+            take(answer.status().code(), answered, current);
+        }
+
+        private void take(final int status, final List<Held> answered, final boolean current) {
             if (status == BAD_REQUEST && answered.size() == 1) {
                 Log.info("the platform cannot read the notice of " + answered.get(0).id + ", which is dropped");
                 confirmed(answered);
@@ -293,15 +329,20 @@
                 confirmed(answered);
             } else {
                 Log.info("the platform answered " + status + " to " + answered.size() + " notices");
+                alone = status == BAD_REQUEST;
                 if (current) {
-                    alone = status == BAD_REQUEST;
                     again(answered);
+                } else {
+                    dueAgain(answered);
                 }
                 return;
             }
+            due.removeIf(held -> !owed.contains(held));
+            alone &= !due.isEmpty();
             if (current) {
-                alone &= !due.isEmpty();
                 next();
+            } else {
+                flush();
             }
         }
 
@@ -318,16 +359,20 @@
         }
 
         private void lost() {
-            late.remove(this);
-            cancelTimeout();
+            final boolean wasLate = late.remove(this);
+            final List<Held> unanswered = told == null ? List.of() : told;
             final boolean underWay = told != null || !up;
+            told = null;
+            cancelTimers();
             if (line == this) {
                 line = null;
                 if (underWay) {
-                    again(told == null ? List.of() : told);
+                    again(unanswered);
                 }
+            } else if (wasLate) {
+                dueAgain(unanswered);
+                flush();
             }
-            told = null;
         }
 
         @Override
