A configuration that cannot be read at its SIGHUP is read again for 3.5 s

Cause: reload took one failed read for the end of the matter. SIGHUP also was not handled until the folder could be used. Change: up to 35 tries, 100 ms apart, on the signal's own thread; the handler stands before the folder is opened.

--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -11,8 +11,10 @@
 import java.nio.channels.ServerSocketChannel;
 import java.time.ZoneId;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /** Starts a real courier, and ends it in order when the platform asks for that. */
@@ -35,6 +37,11 @@
     /** How often it is looked whether the heap was collected: in between, only little is taken on. */
     private static final long COLLECTION_MS = 100;
 
+    /** What a new configuration tells counts as told 4 s after its signal. */
+    private static final int RELOAD_TRIES = 35;
+
+    private static final long RELOAD_AGAIN_MS = 100;
+
     private static final long US_PER_MS = 1000;
 
     private final EventLoopGroup group =
@@ -76,12 +83,14 @@
     private static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
         final Config config = Config.read(environment);
         final ServerSocketChannel held = held(environment);
+        final CompletableFuture<Main> started = new CompletableFuture<>();
+        HangUp.handle(() -> started.thenAccept(main -> main.reload(environment)));
         final Turn turn = StartRetry.blocking("open the locks", () -> Turn.in(config.state()));
         final Clock clock = StartRetry.blocking("read the clock file", () -> clock(config));
         final Main main = StartRetry.blocking("begin an event loop", () -> main(config, clock, turn, held));
-        HangUp.handle(() -> main.reload(environment));
         Runtime.getRuntime().addShutdownHook(new Thread(main::stop, "stop"));
         main.loop.execute(main::orGiveUp);
+        started.complete(main);
     }
 
     private static Clock clock(final Config config) throws IOException {
@@ -267,13 +276,22 @@
         }
     }
 
-    /** On SIGHUP: what the file says now goes; one that cannot be read changes nothing, and never ends the courier. */
+    /**
+     * On SIGHUP, on a thread of its own: what the file says now goes. One that cannot be read changes nothing, and never
+     * ends the courier; it is read again for a while, as it may be about to be written or its folder may fail.
+     */
     private void reload(final Map<String, String> environment) {
-        try {
-            final Config fresh = Config.reread(environment);
-            loop.execute(() -> host.reload(fresh));
-        } catch (final Config.BadConfigException e) {
-            Log.info("reload: kept what was known before: " + e.getMessage());
+        for (int tries = 0; tries < RELOAD_TRIES; tries++) {
+            try {
+                final Config fresh = Config.reread(environment);
+                loop.execute(() -> host.reload(fresh));
+                return;
+            } catch (final Config.BadConfigException e) {
+                if (tries == 0) {
+                    Log.info("reload: kept what was known before: " + e.getMessage());
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RELOAD_AGAIN_MS));
+            }
         }
     }
 
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -188,7 +188,7 @@
     }
 
     /** Writes the file of the configuration, with that platform in it. */
-    private Path configure(final FakeServer at) throws IOException {
+    Path configure(final FakeServer at) throws IOException {
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
                 {"name":"n0","listen":"127.0.0.1:0",%s"discovery":"%s","seed":"8c1f30d27a5be964",
@@ -249,6 +249,11 @@
         return process.isAlive();
     }
 
+    /** The process that was started last. */
+    Process process() {
+        return process;
+    }
+
     /** Starts the program without waiting for anything. */
     Process launch() throws IOException {
         final Path config = configure(platform);
