The copy of the list is written anew once the folder lets it

What callers would see: one failed write and no copy of the list was kept until the process ended; a kill, a start while discovery is down, and the courier sends to endpoints whose drain it had been told long before. Cause: ListStore gave up for good on any IOException (found by reading). Change: it is suspended, and a new base is begun every 500 ms until one is written. What outgrows the budget is still given up for good.

--- a/src/main/java/driftchute/list/BaseWriter.java
+++ b/src/main/java/driftchute/list/BaseWriter.java
@@ -31,11 +31,16 @@
         this.place = place;
         this.file = FileChannel.open(
                 next, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-        write(new StoredRecord.Builder()
-                .number(StoredRecord.FORMAT)
-                .number(fingerprint)
-                .number(version)
-                .build(StoredRecord.HEADER));
+        try {
+            write(new StoredRecord.Builder()
+                    .number(StoredRecord.FORMAT)
+                    .number(fingerprint)
+                    .number(version)
+                    .build(StoredRecord.HEADER));
+        } catch (final IOException e) {
+            file.close();
+            throw e;
+        }
     }
 
     private void write(final ByteBuffer record) throws IOException {
--- a/src/main/java/driftchute/list/ListStore.java
+++ b/src/main/java/driftchute/list/ListStore.java
@@ -57,6 +57,8 @@
     private long waitingBytes;
     /** Changes have been dropped that the file does not have: only a new base helps. */
     private boolean behind;
+    /** The last write failed. */
+    private boolean suspended;
 
     private StoredRecord.Builder part = new StoredRecord.Builder();
     private final StagedEntry entry = new StagedEntry();
@@ -127,7 +129,52 @@
             }
             save(table);
         } catch (final IOException e) {
-            giveUp("it cannot be written: " + e.getMessage());
+            suspend(e);
+        }
+    }
+
+    /** The folder may fail for a while: a new base is written once it can be. */
+    private void suspend(final IOException cause) {
+        if (!suspended) {
+            log.accept("the stored list cannot be written for now: " + cause.getMessage());
+        }
+        suspended = true;
+        behind = true;
+        forgetWaiting();
+        final BaseWriter begun = writer;
+        final FileChannel open = file;
+        writer = null;
+        file = null;
+        size = 0;
+        try {
+            if (begun != null) {
+                begun.abandon();
+            }
+            if (open != null) {
+                size = open.size();
+                open.close();
+            }
+        } catch (final IOException e) {
+            log.accept("the stored list cannot be closed: " + e.getMessage());
+        }
+    }
+
+    /** True while the copy could not be written: {@link #resume} is due. */
+    public boolean isSuspended() {
+        return suspended && !closed;
+    }
+
+    /** Begins a new base in place of what could not be written. */
+    public void resume(final EndpointTable table) {
+        if (!isSuspended()) {
+            return;
+        }
+        try {
+            beginBase(table);
+            suspended = false;
+            log.accept("the stored list is written anew");
+        } catch (final IOException e) {
+            suspend(e);
         }
     }
 
@@ -203,7 +250,7 @@
         try {
             save(table);
         } catch (final IOException e) {
-            giveUp("it cannot be written: " + e.getMessage());
+            suspend(e);
         }
     }
 
@@ -215,7 +262,7 @@
     /** Appends what waits, or begins a new base. */
     private void save(final EndpointTable table) throws IOException {
         final boolean nothingNew = waiting.isEmpty() && !behind;
-        if (!owner || closed || nothingNew || writer != null && !behind) {
+        if (!owner || closed || suspended || nothingNew || writer != null && !behind) {
             return;
         }
         if (file != null && !behind && size - baseBytes + waitingBytes <= mostChangeBytes()) {
@@ -272,7 +319,7 @@
                 endBase(table);
             }
         } catch (final IOException e) {
-            giveUp("it cannot be written: " + e.getMessage());
+            suspend(e);
         }
     }
 
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The list of endpoints: the copy from the configuration at first, then a watch on its changes. When the watch breaks,
@@ -36,6 +37,9 @@
      */
     private static final double DISK_SHARE = 0.04;
 
+    /** How often a copy that could not be written is tried again. */
+    private static final long STORE_AGAIN_MS = 500;
+
     private final Config config;
     private final EventLoop loop;
     private final Host host;
@@ -263,6 +267,12 @@
     void keep() {
         store.own(table);
         writeStore();
+        loop.scheduleWithFixedDelay(this::resumeStore, STORE_AGAIN_MS, STORE_AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void resumeStore() {
+        store.resume(table);
+        writeStore();
     }
 
     /** Another process does from now on. */
--- a/src/test/java/driftchute/node/FolderFaultsTest.java
+++ b/src/test/java/driftchute/node/FolderFaultsTest.java
@@ -182,4 +182,39 @@
         final long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - takenNs);
         assertTrue(tookMs < 3_300, "told after " + tookMs + " ms");
     }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Fault.class,
+            names = {"OPEN_ERRNO", "WRITE_ERRNO", "RENAME_ERRNO"})
+    void aDrainThatCameWhileTheFolderFailedIsKnownToTheNextProcessThoughDiscoveryIsDown(final Fault fault)
+            throws Exception {
+        rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
+        rig.start();
+        rig.faults.set(fault, FaultPage.EIO);
+        rig.change(42, Rig.host("e1", rig.first, "Terminating"));
+        awaitLog("the list at 42");
+        awaitLog("the stored list cannot be written for now");
+        rig.faults.clear();
+        rig.change(43, Rig.host("e2", rig.second, "Ready"));
+        awaitLog("the list at 43");
+        awaitLog("the stored list is written anew");
+        rig.news = "";
+        rig.killAndRestart();
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        rig.await("the call", () -> rig.second.ids().contains("m1"));
+        assertEquals(List.of(), rig.first.ids());
+    }
+
+    @Test
+    void aConfigurationThatIsWholeOnlyAfterItsSignalIsRead() throws Exception {
+        rig.start();
+        rig.reloadTorn();
+        awaitLog("reload: kept what was known before");
+        final int watches = rig.watches.size();
+        try (FakeServer moved = new FakeServer(rig::platform)) {
+            rig.configure(moved);
+            rig.await("the watch at the new address", () -> rig.watches.size() > watches);
+        }
+    }
 }
