--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -301,12 +301,15 @@
             return;
         }
         calls.add(call);
-        loop.schedule(() -> abandon(call, Result.TIMED_OUT), call.deadlineUs - call.sentUs, TimeUnit.MICROSECONDS);
+        // Behind what has come meanwhile: an answer that lies unread came in time.
+        final Runnable timeOut = () -> stalls.afterReading(() -> abandon(call, Result.TIMED_OUT));
+        loop.schedule(timeOut, call.deadlineUs - call.sentUs, TimeUnit.MICROSECONDS);
         for (final Host.Parcel parcel : call.parcels) {
             // Also one that would have been sent again sooner: the call may go on for longer than its time.
             final long leftUs = parcel.open().endUs() - call.sentUs;
             if (leftUs < call.deadlineUs - call.sentUs) {
-                loop.schedule(() -> expire(call, parcel), leftUs, TimeUnit.MICROSECONDS);
+                final Runnable expire = () -> stalls.afterReading(() -> expire(call, parcel));
+                loop.schedule(expire, leftUs, TimeUnit.MICROSECONDS);
             }
         }
         if (call.writeByUs < call.deadlineUs) {
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -663,6 +663,11 @@
 
     // ---------------------------------------------------------------- the pass
 
+    /** Runs a task at once, or after a pause of the process once the sockets have been read. */
+    void afterReading(final Runnable task) {
+        stalls.afterReading(task);
+    }
+
     /** Lets the decisions be made once all that this pass of the loop brought has been told. */
     private void touch() {
         if (!passDue) {
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -135,7 +135,7 @@
 
     /** Ends connections in time from now on. */
     void begin(final EventLoop loop) {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> host.afterReading(this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
