Connections to a slow platform are kept for the notices that come next

Cause: Notices closed each connection that had its late answer while another one was in use; the next notice needed a new one, which could not be had. Change: up to eight are kept, until the platform moves.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -44,6 +44,8 @@
     private static final int ANSWER_MS = 1000;
     /** How soon a request that failed is made again: a notice is due 300 ms after its message's time is up. */
     private static final int AGAIN_MS = 100;
+    /** Connections that are kept beside the one in use, after a time of slow answers. */
+    private static final int MOST_SPARE = 8;
     /** Requests without an answer, beside the one that is waited for. */
     private static final int MOST_LATE = 16;
     /** A request without an answer is given up after this, and so is a connection that does not come up. */
@@ -63,6 +65,8 @@
     private final Deque<Held> due = new ArrayDeque<>();
     /** What no answer has confirmed. */
     private final Set<Held> owed = new HashSet<>();
+    /** Connections that have had their answer while another one is in use: a new one may not be had when it is needed. */
+    private final Deque<Line> spare = new ArrayDeque<>();
     /** Requests that were not answered in time and still may be, oldest first. */
     private final List<Line> late = new ArrayList<>();
 
@@ -85,6 +89,7 @@
     void move(final InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
+            List.copyOf(spare).forEach(Line::close);
             final Line old = line;
             if (old != null && old.isResting()) {
                 line = null;
@@ -118,6 +123,9 @@
             return;
         }
         busy = true;
+        while (!spare.isEmpty() && (line == null || !line.isUsable())) {
+            line = spare.pollLast();
+        }
         if (line != null && line.isUsable()) {
             line.post();
         } else {
@@ -311,10 +319,11 @@
             cancelTimers();
             late.remove(this);
             final boolean current = line == this;
-            final boolean reusable =
-                    HttpUtil.isKeepAlive(answer) && target.equals(address) && (current || line == null);
-            if (reusable) {
+            final boolean reusable = HttpUtil.isKeepAlive(answer) && target.equals(address);
+            if (reusable && (current || line == null)) {
                 line = this;
+            } else if (reusable && spare.size() < MOST_SPARE) {
+                spare.add(this);
             } else {
                 close();
             }
@@ -359,6 +368,7 @@
         }
 
         private void lost() {
+            spare.remove(this);
             final boolean wasLate = late.remove(this);
             final List<Held> unanswered = told == null ? List.of() : told;
             final boolean underWay = told != null || !up;
