--- a/src/main/java/driftchute/node/AgentConnector.java
+++ b/src/main/java/driftchute/node/AgentConnector.java
@@ -21,7 +21,7 @@
         this.shortage = shortage;
     }
 
-    /** Begins to connect with these handlers, for so long at most; then one of the two tasks is run on the event loop. */
+    /** Connects with these handlers, for so long at most; then one of the two tasks is run on the event loop. */
     void connect(
             final InetSocketAddress address,
             final int timeoutMs,
--- a/src/main/java/driftchute/node/Clock.java
+++ b/src/main/java/driftchute/node/Clock.java
@@ -5,10 +5,10 @@
 /**
  * The clocks of a courier, in microseconds. Everything runs on the monotonic clock of the machine, which no one sets.
  *
- * <p>Files that outlast the process hold <em>persistent time</em>: the monotonic clock plus an offset that all processes
- * on one state folder share while the machine is up, see {@link ClockFile}. It looks like Unix time and differs from it
- * by as much as the wall clock has been stepped since the folder was first used, so a deadline in a file remains a span
- * of real time.
+ * <p>Files that outlast the process hold <em>persistent time</em>: the monotonic clock plus an offset that all
+ * processes on one state folder share while the machine is up, see {@link ClockFile}. It looks like Unix time and
+ * differs from it by as much as the wall clock has been stepped since the folder was first used, so a deadline in a
+ * file remains a span of real time.
  */
 final class Clock {
     private static final long NS_PER_US = 1000;
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -3,8 +3,8 @@
 import driftchute.Courier;
 
 /**
- * A message that this courier owes an end, as the journal keeps it (times in microseconds of persistent time): what its client
- * handed in, and what became of it so far. Once it has ended by a notice, only the notice is still owed.
+ * A message that this courier owes an end, as the journal keeps it (times in microseconds of persistent time): what its
+ * client handed in, and what became of it so far. Once it has ended by a notice, only the notice is still owed.
  */
 final class Held {
     static final long NEVER = Long.MAX_VALUE;
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -7,8 +7,8 @@
 /**
  * Standard error is the courier's log. One line for each thing that an operator should know, none for a message.
  *
- * <p>Each line begins with the wall clock in UTC and, in brackets, the seconds of the monotonic clock, which is the same
- * for all processes of a machine and shows the order of lines across a step of the wall clock.
+ * <p>Each line begins with the wall clock in UTC and, in brackets, the seconds of the monotonic clock, which is the
+ * same for all processes of a machine and shows the order of lines across a step of the wall clock.
  */
 final class Log {
     private static final long MS_PER_SECOND = 1000;
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -277,8 +277,8 @@
     }
 
     /**
-     * On SIGHUP, on a thread of its own: what the file says now goes. One that cannot be read changes nothing, and never
-     * ends the courier; it is read again for a while, as it may be about to be written or its folder may fail.
+     * On SIGHUP, on a thread of its own: what the file says now goes. One that cannot be read changes nothing, and
+     * never ends the courier; it is read again for a while, as it may be about to be written or its folder may fail.
      */
     private void reload(final Map<String, String> environment) {
         for (int tries = 0; tries < RELOAD_TRIES; tries++) {
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -65,7 +65,7 @@
     private final Deque<Held> due = new ArrayDeque<>();
     /** What no answer has confirmed. */
     private final Set<Held> owed = new HashSet<>();
-    /** Connections that have had their answer while another one is in use: a new one may not be had when it is needed. */
+    /** Connections that had their answer while another one was in use: a new one may not be had when it is needed. */
     private final Deque<Line> spare = new ArrayDeque<>();
     /** Requests that were not answered in time and still may be, oldest first. */
     private final List<Line> late = new ArrayList<>();
