--- a/src/main/java/driftchute/list/ListStore.java
+++ b/src/main/java/driftchute/list/ListStore.java
@@ -143,32 +143,22 @@
         suspended = true;
         behind = true;
         forgetWaiting();
-        final BaseWriter begun = writer;
-        final FileChannel open = file;
-        writer = null;
-        file = null;
-        size = 0;
+        size = file == null ? 0 : sizeOnDisk();
+        closeFiles();
+    }
+
+    /** Bytes that the open file takes, also those of a write that failed. */
+    private long sizeOnDisk() {
         try {
-            if (begun != null) {
-                begun.abandon();
-            }
-            if (open != null) {
-                size = open.size();
-                open.close();
-            }
+            return file.size();
         } catch (final IOException e) {
-            log.accept("the stored list cannot be closed: " + e.getMessage());
+            return size;
         }
     }
 
-    /** True while the copy could not be written: {@link #resume} is due. */
-    public boolean isSuspended() {
-        return suspended && !closed;
-    }
-
-    /** Begins a new base in place of what could not be written. */
+    /** Begins a new base in place of what could not be written, if there is such. */
     public void resume(final EndpointTable table) {
-        if (!isSuspended()) {
+        if (!suspended || closed) {
             return;
         }
         try {
@@ -185,6 +175,10 @@
         owner = false;
         closed = true;
         forgetWaiting();
+        closeFiles();
+    }
+
+    private void closeFiles() {
         final BaseWriter begun = writer;
         final FileChannel open = file;
         writer = null;
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -236,8 +236,8 @@
     }
 
     @Override
-    public void lost(final boolean spoilt, final boolean willRetry) {
-        if (!willRetry) {
+    public void lost(final boolean spoilt, final boolean retries) {
+        if (!retries) {
             host.list(Courier.Update.LOST, List.of());
         }
         start.watchEnded(spoilt);
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -301,15 +301,12 @@
             return;
         }
         calls.add(call);
-        // Behind what has come meanwhile: an answer that lies unread came in time.
-        final Runnable timeOut = () -> stalls.afterReading(() -> abandon(call, Result.TIMED_OUT));
-        loop.schedule(timeOut, call.deadlineUs - call.sentUs, TimeUnit.MICROSECONDS);
+        scheduleAfterReading(() -> abandon(call, Result.TIMED_OUT), call.deadlineUs - call.sentUs);
         for (final Host.Parcel parcel : call.parcels) {
             // Also one that would have been sent again sooner: the call may go on for longer than its time.
             final long leftUs = parcel.open().endUs() - call.sentUs;
             if (leftUs < call.deadlineUs - call.sentUs) {
-                final Runnable expire = () -> stalls.afterReading(() -> expire(call, parcel));
-                loop.schedule(expire, leftUs, TimeUnit.MICROSECONDS);
+                scheduleAfterReading(() -> expire(call, parcel), leftUs);
             }
         }
         if (call.writeByUs < call.deadlineUs) {
@@ -331,6 +328,11 @@
         }
     }
 
+    /** Behind what has come by then: an answer that lies unread came in time. */
+    private void scheduleAfterReading(final Runnable task, final long delayUs) {
+        loop.schedule(() -> stalls.afterReading(task), delayUs, TimeUnit.MICROSECONDS);
+    }
+
     private static Reader idle(final Pool pool) {
         while (!pool.idle.isEmpty()) {
             final Reader reader = pool.idle.pollLast();
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -26,11 +26,11 @@
     private static final long FIGURES_MS = 100;
     /** How often a process that leaves is listened to, and how long its end is left to close its connections. */
     private static final long HEAR_MS = 10;
-    /** How often the marks of endpoints taken out are looked at: a drain binds after 250 ms. */
-    private static final long MARKS_MS = 50;
-
-    /** How often what could not be recorded is tried again: a notice is due 300 ms after its message's time is up. */
-    private static final long FLUSH_MS = 50;
+    /**
+     * How often the marks of endpoints taken out are looked at, as a drain binds after 250 ms, and what could not be
+     * recorded is tried again, as a notice is due 300 ms after its message's time is up.
+     */
+    private static final long FOLDER_MS = 50;
 
     private static final long DEAD_US = 20_000;
     /**
@@ -177,7 +177,7 @@
             discovery.push();
         }
         loop.scheduleWithFixedDelay(this::count, 0, FIGURES_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(this::look, 0, MARKS_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::tendFolder, 0, FOLDER_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---------------------------------------------------------------- what operators take out
@@ -201,6 +201,13 @@
         return null;
     }
 
+    private void tendFolder() {
+        look();
+        if (journal != null && leaving == null) {
+            flushJournal();
+        }
+    }
+
     /** The other process of this courier may have been called as well: what is on disk holds for both. */
     private void look() {
         final Map<String, Long> found;
@@ -264,7 +271,6 @@
         hear();
         Log.info(config.describe());
         loop.scheduleWithFixedDelay(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
-        loop.scheduleWithFixedDelay(this::flushJournal, FLUSH_MS, FLUSH_MS, TimeUnit.MILLISECONDS);
         followPredecessors();
         touch();
     }
@@ -849,9 +855,6 @@
      * a kill would make the next process go on with the message.
      */
     private void flushJournal() {
-        if (leaving != null) {
-            return;
-        }
         final boolean recorded = journal.flush();
         unrecordedCalls.retry();
         if (unrecorded.isEmpty()) {
--- a/src/main/java/driftchute/node/ListSubscription.java
+++ b/src/main/java/driftchute/node/ListSubscription.java
@@ -41,8 +41,8 @@
         /** A list cannot be used. */
         void refused(ListFormatException fault);
 
-        /** No watch is left. {@code willRetry}: another one is opened without being asked for. */
-        void lost(boolean spoilt, boolean willRetry);
+        /** No watch is left. {@code retries}: the subscription opens the next one by itself. */
+        void lost(boolean spoilt, boolean retries);
     }
 
     private record Attempt(Watch watch, long openedNs) {}
@@ -103,7 +103,6 @@
             // Also during a pause: what is told there counts from 4 s after the signal on, however long the pause is.
             cancelPause();
             closeAllBut(null);
-            live = null;
             open();
         }
     }
@@ -271,8 +270,7 @@
         }
         cancelAttempt();
         final long delayMs = retry.afterEnd(ended.isSpoilt(), ended.unusedBytes());
-        final boolean willRetry = retries || retry.isLong();
-        if (willRetry) {
+        if (retries || retry.isLong()) {
             pause = loop.schedule(this::endPause, delayMs, TimeUnit.MILLISECONDS);
         }
         listener.lost(ended.isSpoilt(), retries);
--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -118,8 +118,11 @@
 
     /** Sends what is due, unless a request is out already. */
     void flush() {
+        if (dropped || busy) {
+            return;
+        }
         due.removeIf(held -> !owed.contains(held));
-        if (dropped || busy || due.isEmpty()) {
+        if (due.isEmpty()) {
             return;
         }
         busy = true;
@@ -141,7 +144,7 @@
                 address,
                 PATIENCE_MS,
                 fresh::connected,
-                fresh::failed,
+                fresh::lost,
                 new HttpClientCodec(),
                 new HttpObjectAggregator(MOST_ANSWER_BYTES),
                 fresh);
@@ -355,11 +358,6 @@
             }
         }
 
-        /** The connection never came up. */
-        private void failed() {
-            lost();
-        }
-
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             if (up) {
@@ -367,6 +365,7 @@
             }
         }
 
+        /** The connection has ended, or never came up. */
         private void lost() {
             spare.remove(this);
             final boolean wasLate = late.remove(this);
--- a/src/main/java/driftchute/node/UnrecordedCalls.java
+++ b/src/main/java/driftchute/node/UnrecordedCalls.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongPredicate;
-import java.util.function.Predicate;
 
 /**
  * Calls that were decided while the journal could not record their attempts. They are begun as soon as it can: each
@@ -79,7 +78,7 @@
     }
 
     /** These endpoints may not be called now: what waits for one of them is told as not sent. */
-    void holdBack(final Predicate<Long> bound) {
+    void holdBack(final LongPredicate bound) {
         List.copyOf(waiting).stream().filter(one -> bound.test(one.endpoint())).forEach(this::notSent);
     }
 
--- a/src/test/java/driftchute/node/SlowAgentTest.java
+++ b/src/test/java/driftchute/node/SlowAgentTest.java
@@ -138,26 +138,32 @@
     void nothingIsSentToAnEndpointWhoseDrainLayUnreadWhileTheProcessStoodStill()
             throws IOException, InterruptedException {
         rig.discovery = "pushed";
-        rig.maxOpen = 1000;
-        rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
+        rig.hosts = Rig.host("e0", rig.first, "Ready");
         agent();
         rig.start();
         for (int round = 0; round < 6; round++) {
             final FakeServer draining = round % 2 == 0 ? rig.first : rig.second;
-            for (int count = 0; count < 40; count++) {
-                assertEquals(202, rig.handIn("m" + round + "-" + count, "safe").status());
-            }
-            rig.signal("STOP");
-            final String list = Rig.host("e1", rig.first, round % 2 == 0 ? "Terminating" : "Ready") + ","
-                    + Rig.host("e2", rig.second, round % 2 == 0 ? "Ready" : "Terminating");
-            watches.get(watches.size() - 1).chunk(Rig.line(42 + round, list));
-            Thread.sleep(500);
+            final FakeServer ready = round % 2 == 0 ? rig.second : rig.first;
+            draining.script((request, connection) -> connection.answer(429, "", "Retry-After: 1.0"));
+            ready.script((request, connection) -> connection.accept(request));
             final int before = draining.requests.size();
-            rig.signal("CONT");
-            final int version = 42 + round;
-            rig.await("the drain", () -> rig.log.stream().anyMatch(line -> line.startsWith("the list at " + version)));
+            final String id = "m" + round;
+            assertEquals(202, rig.handIn(id, "safe").status());
+            rig.await("the call that is told to wait", () -> draining.requests.size() > before);
+            // The answer has been read by then, and the loop waits for its next timer.
             Thread.sleep(300);
-            assertEquals(before, draining.requests.size(), "round " + round);
+            rig.signal("STOP");
+            watches.get(watches.size() - 1)
+                    .chunk(Rig.line(
+                            42 + round,
+                            Rig.host("e" + round, draining, "Terminating") + ","
+                                    + Rig.host("e" + (round + 1), ready, "Ready")));
+            // The told wait ends meanwhile: the next attempt is due at the moment in which the process goes on.
+            Thread.sleep(1500);
+            rig.signal("CONT");
+            rig.await(
+                    "the call to the endpoint that is ready", () -> ready.ids().contains(id));
+            assertEquals(before + 1, draining.requests.size(), "round " + round);
         }
     }
 }
