--- a/src/test/java/driftchute/node/FaultPage.java
+++ b/src/test/java/driftchute/node/FaultPage.java
@@ -12,16 +12,30 @@
 
 /** The faults of a process that has {@code src/test/native/faults.c} preloaded: set here, they hold there at once. */
 final class FaultPage {
+    static final int EINTR = 4;
     static final int EIO = 5;
+    static final int ENOMEM = 12;
     static final int EMFILE = 24;
     static final int ENOSPC = 28;
+    static final int EPIPE = 32;
     static final int EADDRINUSE = 98;
+    static final int ECONNRESET = 104;
+    static final int ENOBUFS = 105;
+    static final int ENOTCONN = 107;
     static final int ETIMEDOUT = 110;
+    static final int EHOSTUNREACH = 113;
 
-    /** Writes take no byte, or all of them, before they fail. */
+    /** Writes take no byte, all of them or half of them (sockets only), before they fail. */
     static final long NO_BYTES = 0;
 
     static final long ALL_BYTES = -1;
+    static final long HALF_OF_THE_BYTES = -2;
+
+    /** Sockets on which receiving, sending, shutting down and closing may fail. */
+    static final long ALL_SOCKETS = 0;
+
+    static final long ACCEPTED_SOCKETS = 1;
+    static final long CONNECTED_SOCKETS = 2;
 
     private static final Path SOURCE = Path.of("src/test/native/faults.c");
     private static final long COMPILE_S = 60;
@@ -40,9 +54,17 @@
         UNLINK_ERRNO,
         ACCEPT_ERRNO,
         CONNECT_ERRNO,
+        CONNECT_EFFECT,
         SOCKET_ERRNO,
         BIND_ERRNO,
         RECEIVE_ERRNO,
+        SEND_ERRNO,
+        SEND_EFFECT,
+        SEND_SHORT,
+        SHUTDOWN_ERRNO,
+        CLOSE_ERRNO,
+        POLL_ERRNO,
+        SOCKET_SCOPE,
         ONE_IN
     }
 
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -17,10 +17,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A real courier as a process of its own, between fakes of the platform and of its endpoints. */
 final class Rig implements AutoCloseable {
     static final long PATIENCE_S = 20;
+    /** The window in which repeats of the class "brief" are dropped. */
+    static final long BRIEF_WINDOW_MS = 300;
+    /** A status line, which may be cut off behind its number. */
+    private static final Pattern STATUS = Pattern.compile("HTTP/1\\.1 (\\d{3})");
+
     private static final String CLASSES = """
             [{"name":"safe","effect":"pure","target":5000000,"deadline":20000000,"points":1.0},
              {"name":"keyed","effect":"token","group":"all","dedup_window":10000000,
@@ -349,7 +356,8 @@
         for (String line = FakeServer.line(in); !line.isEmpty(); line = FakeServer.line(in)) {
             lines.add(line);
         }
-        final int status = lines.isEmpty() ? 0 : Integer.parseInt(lines.get(0).split(" ")[1]);
+        final Matcher first = STATUS.matcher(lines.isEmpty() ? "" : lines.get(0));
+        final int status = first.lookingAt() ? Integer.parseInt(first.group(1)) : 0;
         return new Answer(status, String.join("\n", lines).toLowerCase(java.util.Locale.ROOT));
     }
 
--- a/src/test/java/driftchute/node/SlowPlatformTest.java
+++ b/src/test/java/driftchute/node/SlowPlatformTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import driftchute.node.FaultPage.Fault;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -72,4 +73,28 @@
                 posts.subList(told, posts.size()).stream().noneMatch(text -> text.contains("\"m1\"")),
                 posts.toString());
     }
+
+    @Test
+    void noticesAreToldThoughNoConnectionCanBeOpenedAndAllWaitForTheirAnswers()
+            throws IOException, InterruptedException {
+        rig.faults = new FaultPage(folder, folder.resolve("state"));
+        rig.discovery = "pushed";
+        rig.platform.script((request, connection) -> {
+            if (request.line().startsWith("POST")) {
+                posts.add(request.text());
+            } else {
+                rig.platform(request, connection);
+            }
+        });
+        rig.start();
+        rig.first.script((request, connection) -> connection.answer(410, ""));
+        assertEquals(202, rig.handIn("m0", "safe").status());
+        rig.await("the notice that is not answered", () -> posts.stream().anyMatch(text -> text.contains("\"m0\"")));
+        rig.faults.set(Fault.SOCKET_ERRNO, FaultPage.EMFILE);
+        for (int count = 1; count < 4; count++) {
+            final String id = "m" + count;
+            assertEquals(202, rig.handIn(id, "safe").status());
+            rig.await("the next notice", () -> posts.stream().anyMatch(text -> text.contains('"' + id + '"')));
+        }
+    }
 }
--- a/src/test/java/driftchute/node/SoakPlay.java
+++ b/src/test/java/driftchute/node/SoakPlay.java
@@ -3,7 +3,6 @@
 import driftchute.node.FaultPage.Fault;
 import java.io.IOException;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,19 +11,19 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * One seeded play before a real courier: clients that use their open connections until the kill, endpoints, an agent
- * and a platform of their own pace, signals in series, and faults of folder, sockets and clocks. The same seed draws
- * the same schedule.
+ * and a platform of their own pace, signals in series, and faults of folder, sockets and clocks. The same seed and range
+ * of faults draw the same schedule.
  */
 final class SoakPlay implements AutoCloseable {
     private static final int CLIENTS = 8;
+    private static final int LEAST_PAUSE_MS = 20;
+    private static final int MOST_PAUSE_MS = 140;
     private static final int CROWD = 150;
-    private static final int ANSWER_MS = 400;
     /** SIGKILL comes no sooner than that after SIGTERM. */
     private static final long KILL_MS = 3700;
 
@@ -34,33 +33,55 @@
     private static final long MOST_END_MS = 12_000;
     private static final int HOUR_S = 3600;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    private static final Pattern NOTICE_ID = Pattern.compile("\"id\":\"([^\"]*)\"");
     private static final Pattern AFTER = Pattern.compile("after=(-?\\d+)");
     private static final List<Fault> FOLDER_FAULTS =
             List.of(Fault.OPEN_ERRNO, Fault.READ_ERRNO, Fault.WRITE_ERRNO, Fault.RENAME_ERRNO, Fault.TRUNCATE_ERRNO);
     private static final List<Fault> SOCKET_FAULTS =
             List.of(Fault.ACCEPT_ERRNO, Fault.CONNECT_ERRNO, Fault.SOCKET_ERRNO, Fault.RECEIVE_ERRNO);
 
+    private static final List<Integer> SEND_ERRORS = List.of(
+            FaultPage.EIO,
+            FaultPage.ENOBUFS,
+            FaultPage.ENOMEM,
+            FaultPage.EPIPE,
+            FaultPage.ECONNRESET,
+            FaultPage.ETIMEDOUT,
+            FaultPage.EHOSTUNREACH);
+    private static final List<Long> SEND_EFFECTS =
+            List.of(FaultPage.ALL_BYTES, FaultPage.HALF_OF_THE_BYTES, FaultPage.NO_BYTES);
+    private static final int SHORT_BYTES = 40;
+
+    /** Which faults are drawn. */
+    enum Range {
+        /** Folder, clocks, signals, and calls that fail before their effect on sockets. */
+        BASIC,
+        /** Also sends, shutdowns, closes and connects that fail after their effect, faults in pairs, hand-overs. */
+        WIDE
+    }
+
     /** What has been played and seen. */
     final SoakRecord record = new SoakRecord();
 
+    private final Range range;
     private final Random random;
     private final Rig rig;
     private final FakeServer otherPlatform;
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
     private final List<Socket> crowd = new ArrayList<>();
-    private final List<Thread> clients = new ArrayList<>();
-    private final AtomicInteger numbers = new AtomicInteger();
+    private final SoakClients clients;
     private final List<String> schedule = new ArrayList<>();
-    private volatile boolean handingIn = true;
     private volatile boolean draining;
-    private volatile boolean readsFail;
+    /** Connections may break, and with them watches. */
+    private volatile boolean connectionsFail;
+
+    private volatile long unreachableSinceMs = -1;
     private volatile long agentMs;
     private volatile long noticeMs;
     private volatile long endpointSeed;
 
-    SoakPlay(final long seed, final Path folder) throws IOException, InterruptedException {
+    SoakPlay(final long seed, final Range range, final Path folder) throws IOException, InterruptedException {
+        this.range = range;
         random = new Random(seed);
         rig = new Rig(folder);
         otherPlatform = new FakeServer(this::platform);
@@ -71,10 +92,19 @@
         rig.faults = new FaultPage(folder, folder.resolve("state"));
         rig.hosts = hosts();
         endpointSeed = random.nextLong();
+        clients = new SoakClients(rig, record, endpointSeed, this::drawKind, LEAST_PAUSE_MS, MOST_PAUSE_MS);
         rig.first.script((request, connection) -> endpoint("e1", request, connection));
         rig.second.script((request, connection) -> endpoint("e2", request, connection));
     }
 
+    private String drawKind(final Random own) {
+        final int draw = own.nextInt(10);
+        if (range == Range.BASIC) {
+            return draw < 5 ? "safe" : draw < 7 ? "once" : "turn";
+        }
+        return draw < 2 ? "safe" : draw < 6 ? "once" : draw < 8 ? "turn" : draw < 9 ? "keyed" : "brief";
+    }
+
     private String hosts() {
         return Rig.host("e1", rig.first, draining ? "Terminating" : "Ready") + ","
                 + Rig.host("e2", rig.second, "Ready");
@@ -84,10 +114,7 @@
 
     private void platform(final FakeServer.Request request, final FakeServer.Connection connection) {
         if (request.line().startsWith("POST")) {
-            final Matcher ids = NOTICE_ID.matcher(request.text());
-            while (ids.find()) {
-                record.noticed(ids.group(1));
-            }
+            record.noticed(request.text());
             timer.schedule(() -> connection.answer(204, ""), noticeMs, TimeUnit.MILLISECONDS);
             return;
         }
@@ -121,8 +148,8 @@
     private void tell(final FakeServer.Connection connection) {
         if (!connection.ended) {
             connection.chunk(Rig.line(version(), hosts()));
-            // What a read that fails takes along is told by the next watch, 6 s later at the latest.
-            if (!readsFail) {
+            // What a connection that fails takes along is told by the next watch, 6 s later at the latest.
+            if (!connectionsFail) {
                 record.told();
             }
         }
@@ -147,62 +174,13 @@
         }
     }
 
-    private void client(final int number) {
-        final Random own = new Random(endpointSeed + number);
-        Socket socket = null;
-        while (handingIn) {
-            try {
-                if (socket == null) {
-                    socket = rig.connect();
-                    socket.setSoTimeout(ANSWER_MS);
-                }
-                if (!handIn(socket, number, own)) {
-                    socket.close();
-                    socket = null;
-                }
-                Thread.sleep(20 + own.nextInt(120));
-            } catch (final IOException e) {
-                socket = null;
-            } catch (final InterruptedException e) {
-                return;
-            }
-        }
-    }
-
-    /** False if the connection is of no more use. */
-    private boolean handIn(final Socket socket, final int client, final Random own) throws IOException {
-        final int draw = own.nextInt(10);
-        final String kind = draw < 5 ? "safe" : draw < 7 ? "once" : "turn";
-        final String id = kind + "-" + client + "-" + numbers.incrementAndGet();
-        final String key = kind.equals("turn") ? "key" + client : null;
-        final long timeoutMs = 1500 + own.nextInt(4000);
-        final String text = (key == null ? Rig.message(id, kind) : Rig.inTurn(id, key))
-                .replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: " + timeoutMs);
-        final SoakRecord.Message message = new SoakRecord.Message(id, kind, key, record.nowMs(), timeoutMs);
-        record.handedIn(message);
-        try {
-            final Rig.Answer answer = Rig.send(socket, text);
-            message.answeredMs = record.nowMs();
-            message.status = answer.status();
-            return answer.status() != 0 && !answer.head().contains("connection: close");
-        } catch (final SocketTimeoutException e) {
-            return false;
-        }
-    }
-
     // ---------------------------------------------------------------- the schedule
 
     /** Plays it; the result is the broken rules. */
     List<String> run() throws IOException, InterruptedException {
         record.launched();
         rig.start();
-        for (int number = 0; number < CLIENTS; number++) {
-            final int own = number;
-            final Thread thread = new Thread(() -> client(own), "client " + own);
-            thread.setDaemon(true);
-            thread.start();
-            clients.add(thread);
-        }
+        clients.start(CLIENTS);
         if (random.nextInt(3) == 0) {
             comeAsCrowd();
         }
@@ -212,15 +190,16 @@
             if (step == drainAt) {
                 beginDrain();
             }
-            step();
+            if (range == Range.BASIC) {
+                step(random.nextInt(7));
+            } else {
+                wideStep(random.nextInt(10));
+            }
             pause(200, 800);
         }
         restart();
         pause(500, 1500);
-        handingIn = false;
-        for (final Thread client : clients) {
-            client.join(TimeUnit.SECONDS.toMillis(5));
-        }
+        clients.stop();
         clearFaults();
         final long untilMs = record.nowMs() + MOST_END_MS;
         while (record.pending() > 0 && record.nowMs() < untilMs) {
@@ -229,6 +208,7 @@
         if (!rig.isAlive()) {
             record.fault("the process has ended by itself");
         }
+        rig.log.stream().filter(line -> line.startsWith("violation prevented")).forEach(record::fault);
         return record.violations();
     }
 
@@ -257,8 +237,25 @@
         }
     }
 
-    private void step() throws IOException, InterruptedException {
-        switch (random.nextInt(7)) {
+    private void wideStep(final int kind) throws IOException, InterruptedException {
+        switch (kind) {
+            case 7 -> {
+                failSends();
+                pause(300, 1500);
+                clearOften();
+            }
+            case 8 -> {
+                failSends();
+                step(1 + random.nextInt(2));
+                clearFaults();
+            }
+            case 9 -> handOver();
+            default -> step(kind);
+        }
+    }
+
+    private void step(final int kind) throws IOException, InterruptedException {
+        switch (kind) {
             case 0 -> hangUps();
             case 1 -> fail(FOLDER_FAULTS.get(random.nextInt(FOLDER_FAULTS.size())), FaultPage.EIO, 300, 2500);
             case 2 -> fail(SOCKET_FAULTS.get(random.nextInt(SOCKET_FAULTS.size())), FaultPage.ETIMEDOUT, 200, 1000);
@@ -297,16 +294,64 @@
                 .set(Fault.WRITE_EFFECT, takesEffect ? FaultPage.ALL_BYTES : random.nextInt(40))
                 .set(Fault.RENAME_EFFECT, takesEffect ? 1 : 0)
                 .set(fault, error);
-        readsFail |= fault == Fault.RECEIVE_ERRNO;
+        connectionsFail |= fault == Fault.RECEIVE_ERRNO;
         pause(leastMs, mostMs);
+        clearOften();
+    }
+
+    private void clearOften() {
         if (random.nextInt(4) > 0) {
             clearFaults();
         }
     }
 
+    /** Sends fail from now on, some beside another call on sockets. */
+    private void failSends() {
+        final int error = SEND_ERRORS.get(random.nextInt(SEND_ERRORS.size()));
+        final long effect = SEND_EFFECTS.get(random.nextInt(SEND_EFFECTS.size()));
+        final long scope = random.nextInt(3);
+        final int oneIn = 1 + random.nextInt(3);
+        final Fault other = drawOther();
+        note("sends fail with " + error + ", effect " + effect + ", scope " + scope + ", one in " + oneIn + ", beside "
+                + other);
+        connectionsFail = true;
+        if (oneIn == 1 && effect != FaultPage.ALL_BYTES && scope != FaultPage.ACCEPTED_SOCKETS) {
+            unreachableSinceMs = record.nowMs();
+        }
+        rig.faults
+                .set(Fault.ONE_IN, oneIn)
+                .set(Fault.SOCKET_SCOPE, scope)
+                .set(Fault.SEND_EFFECT, effect)
+                .set(Fault.SEND_ERRNO, error);
+    }
+
+    /** Sets another fault of sockets, or none. */
+    private Fault drawOther() {
+        return switch (random.nextInt(6)) {
+            case 0 -> set(Fault.SHUTDOWN_ERRNO, FaultPage.ENOTCONN);
+            case 1 -> set(Fault.CLOSE_ERRNO, FaultPage.EIO);
+            case 2 -> {
+                rig.faults.set(Fault.CONNECT_EFFECT, 1);
+                yield set(Fault.CONNECT_ERRNO, FaultPage.EHOSTUNREACH);
+            }
+            case 3 -> set(Fault.SEND_SHORT, SHORT_BYTES);
+            case 4 -> set(Fault.RECEIVE_ERRNO, FaultPage.ETIMEDOUT);
+            default -> null;
+        };
+    }
+
+    private Fault set(final Fault fault, final long value) {
+        rig.faults.set(fault, value);
+        return fault;
+    }
+
     private void clearFaults() {
         rig.faults.clear();
-        readsFail = false;
+        connectionsFail = false;
+        if (unreachableSinceMs >= 0) {
+            record.unreachable(unreachableSinceMs);
+            unreachableSinceMs = -1;
+        }
     }
 
     private void standStill() throws IOException, InterruptedException {
@@ -344,9 +389,8 @@
         if (random.nextBoolean()) {
             stepClock();
         }
-        // A fault that lasts is over soon after the start.
         final long startMs = record.nowMs();
-        timer.schedule(this::clearFaults, 1000, TimeUnit.MILLISECONDS);
+        clearSoon();
         record.launched();
         rig.start();
         note("ready after " + (record.nowMs() - startMs) + " ms");
@@ -356,6 +400,30 @@
         record.restarted(fromMs);
     }
 
+    /** A fault that lasts is over soon after a start. */
+    private void clearSoon() {
+        timer.schedule(this::clearFaults, 1000, TimeUnit.MILLISECONDS);
+    }
+
+    private void handOver() throws IOException, InterruptedException {
+        clearSoon();
+        final Process old = rig.startBeside();
+        note("a second process stands by");
+        if (random.nextBoolean()) {
+            failSends();
+        }
+        clearSoon();
+        final long fromMs = record.nowMs();
+        record.launched();
+        rig.replace(old, false);
+        note("handed over");
+        record.restarted(fromMs);
+        if (!old.waitFor(KILL_MS, TimeUnit.MILLISECONDS)) {
+            record.fault("the process that handed over had not ended at the kill");
+            old.destroyForcibly();
+        }
+    }
+
     private static void closeQuietly(final Socket socket) {
         try {
             socket.close();
@@ -380,7 +448,7 @@
 
     @Override
     public void close() throws IOException {
-        handingIn = false;
+        clients.end();
         timer.shutdownNow();
         crowd.forEach(SoakPlay::closeQuietly);
         rig.close();
--- a/src/test/java/driftchute/node/SoakRecord.java
+++ b/src/test/java/driftchute/node/SoakRecord.java
@@ -7,6 +7,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** What a soak saw, on one monotonic clock in milliseconds, and which of the protocol's rules that breaks. */
 final class SoakRecord {
@@ -23,6 +26,10 @@
     /** What crosses on two connections may be seen here in another order. */
     private static final long CROSSING_MS = 100;
 
+    private static final Pattern NOTICE_ID = Pattern.compile("\"id\":\"([^\"]*)\"");
+    /** As {@link SoakClients} names them. */
+    private static final Pattern MESSAGE_ID = Pattern.compile("(safe|once|turn|keyed|brief)-\\d+-\\d+");
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int ACCEPTED = 202;
@@ -86,8 +93,17 @@
         request.ids().forEach(id -> calls.add(new Call(id, endpoint, ms(request.atNs()), status)));
     }
 
-    void noticed(final String id) {
-        notices.add(new Notice(id, nowMs()));
+    /** The messages of soaks that a line of text names. */
+    static List<String> idsIn(final String line) {
+        return MESSAGE_ID.matcher(line).results().map(MatchResult::group).toList();
+    }
+
+    /** A request with notices has come whole. */
+    void noticed(final String text) {
+        final Matcher ids = NOTICE_ID.matcher(text);
+        while (ids.find()) {
+            notices.add(new Notice(ids.group(1), nowMs()));
+        }
     }
 
     /** From then until now no process was ready. */
@@ -102,6 +118,11 @@
         }
     }
 
+    /** From then until now every request to the platform failed before it was whole. */
+    void unreachable(final long fromMs) {
+        absences.add(new Absence(fromMs, nowMs() + END_GRACE_MS));
+    }
+
     void launched() {
         launches.add(nowMs());
     }
@@ -168,12 +189,17 @@
                     .forEach(call -> found.add(
                             "refused with " + message.status + " and sent at " + call.atMs() + " ms: " + message.id));
         }
+        final List<Call> mayHaveRun =
+                own.stream().filter(call -> call.status() != UNAVAILABLE).toList();
         if (message.kind.equals("once") || message.kind.equals("turn")) {
-            final long mayHaveRun =
-                    own.stream().filter(call -> call.status() != UNAVAILABLE).count();
-            if (mayHaveRun > 1) {
-                found.add("unsafe and may have run " + mayHaveRun + " times: " + message.id + " " + own);
+            if (mayHaveRun.size() > 1) {
+                found.add("unsafe and may have run " + mayHaveRun.size() + " times: " + message.id + " " + own);
             }
+        } else if (message.kind.equals("brief") && !mayHaveRun.isEmpty()) {
+            final long untilMs = mayHaveRun.get(0).atMs() + Rig.BRIEF_WINDOW_MS + HELD_UP_MS;
+            own.stream()
+                    .filter(call -> call.atMs() > untilMs)
+                    .forEach(call -> found.add("sent behind its key's window: " + message.id + " " + own));
         }
     }
 
--- a/src/test/java/driftchute/node/SoakTest.java
+++ b/src/test/java/driftchute/node/SoakTest.java
@@ -31,12 +31,23 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void noRuleIsBroken(final long seed) throws IOException, InterruptedException {
-        try (SoakPlay play = new SoakPlay(seed, folder)) {
+        play(seed, SoakPlay.Range.BASIC);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noRuleIsBrokenWhileCallsOnSocketsFailAfterTheirEffect(final long seed)
+            throws IOException, InterruptedException {
+        play(seed, SoakPlay.Range.WIDE);
+    }
+
+    private void play(final long seed, final SoakPlay.Range range) throws IOException, InterruptedException {
+        try (SoakPlay play = new SoakPlay(seed, range, folder)) {
             final List<String> violations = play.run();
-            System.out.println("soak " + seed + ": " + play.record.summary() + "; " + play.schedule());
+            System.out.println("soak " + range + " " + seed + ": " + play.record.summary() + "; " + play.schedule());
             if (!violations.isEmpty()) {
                 final Path report =
-                        Files.createDirectories(Path.of("target", "soak")).resolve("seed-" + seed + ".txt");
+                        Files.createDirectories(Path.of("target", "soak")).resolve(range + "-" + seed + ".txt");
                 Files.writeString(
                         report,
                         String.join("\n", play.schedule()) + "\n\n" + String.join("\n", violations) + "\n\n"
--- a/src/test/native/faults.c
+++ b/src/test/native/faults.c
@@ -10,6 +10,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -22,15 +23,24 @@
 /* Numbers of the page, as FaultPage.java names them. */
 enum {
     CLOCK_STEP_S, OPEN_ERRNO, READ_ERRNO, WRITE_ERRNO, WRITE_EFFECT, WRITE_SHORT, RENAME_ERRNO, RENAME_EFFECT,
-    TRUNCATE_ERRNO, UNLINK_ERRNO, ACCEPT_ERRNO, CONNECT_ERRNO, SOCKET_ERRNO, BIND_ERRNO, RECEIVE_ERRNO, ONE_IN, NUMBERS
+    TRUNCATE_ERRNO, UNLINK_ERRNO, ACCEPT_ERRNO, CONNECT_ERRNO, CONNECT_EFFECT, SOCKET_ERRNO, BIND_ERRNO, RECEIVE_ERRNO,
+    SEND_ERRNO, SEND_EFFECT, SEND_SHORT, SHUTDOWN_ERRNO, CLOSE_ERRNO, POLL_ERRNO, SOCKET_SCOPE, ONE_IN, NUMBERS
 };
 
+/* Values of SOCKET_SCOPE: the sockets on which receiving, sending, shutting down and closing may fail. */
+enum { ALL_SOCKETS, ACCEPTED_SOCKETS, CONNECTED_SOCKETS };
+
+/* SEND_EFFECT: half of the bytes go out; other negative numbers stand for all. */
+#define HALF_OF_THE_BYTES -2
+
 #define MOST_FILES 4096
 
 static volatile int64_t none[NUMBERS];
 static volatile int64_t *page = none;
 static const char *folder;
 static unsigned char in_folder[MOST_FILES];
+/* Which sockets were accepted or connected, as values of SOCKET_SCOPE. */
+static unsigned char origin[MOST_FILES];
 static unsigned calls;
 
 __attribute__((constructor)) static void begin(void) {
@@ -101,29 +111,125 @@
 OPEN(open)
 OPEN(open64)
 
+static int is_socket(int file) {
+    struct stat status;
+    return fstat(file, &status) == 0 && S_ISSOCK(status.st_mode);
+}
+
+static void set_origin(int file, int value) {
+    if (file >= 0 && file < MOST_FILES) {
+        origin[file] = value;
+    }
+}
+
+/* True for a connection on which calls may fail now. */
+static int in_scope(int file) {
+    if (file < 0 || file >= MOST_FILES || origin[file] == 0) {
+        return 0;
+    }
+    int64_t scope = page[SOCKET_SCOPE];
+    return scope == ALL_SOCKETS || scope == origin[file];
+}
+
+/* A descriptor is free after close() whatever it returns. */
 int close(int file) {
     REAL(int, close, int)
+    int fails = page[CLOSE_ERRNO] != 0 && in_scope(file);
     if (file >= 0 && file < MOST_FILES) {
         in_folder[file] = 0;
+        origin[file] = 0;
     }
-    return real(file);
-}
-
-static int is_socket(int file) {
-    struct stat status;
-    return fstat(file, &status) == 0 && S_ISSOCK(status.st_mode);
+    int result = real(file);
+    if (fails) {
+        FAIL(CLOSE_ERRNO);
+    }
+    return result;
 }
 
 ssize_t read(int file, void *into, size_t count) {
     REAL(ssize_t, read, int, void *, size_t)
     if (is_ours(file)) {
         FAIL(READ_ERRNO);
-    } else if (page[RECEIVE_ERRNO] != 0 && is_socket(file)) {
+    } else if (page[RECEIVE_ERRNO] != 0 && (page[SOCKET_SCOPE] == ALL_SOCKETS ? is_socket(file) : in_scope(file))) {
         FAIL(RECEIVE_ERRNO);
     }
     return real(file, into, count);
 }
 
+/* How many bytes a send takes, as the page tells. */
+static size_t sent(size_t count, int error) {
+    int64_t most = error != 0 ? page[SEND_EFFECT] : page[SEND_SHORT] > 0 ? page[SEND_SHORT] : (int64_t) count;
+    if (most == HALF_OF_THE_BYTES) {
+        return count / 2;
+    }
+    return most < 0 || (uint64_t) most > count ? count : (size_t) most;
+}
+
+ssize_t write(int file, const void *from, size_t count) {
+    REAL(ssize_t, write, int, const void *, size_t)
+    if (!in_scope(file)) {
+        return real(file, from, count);
+    }
+    int error = fault(SEND_ERRNO);
+    size_t some = sent(count, error);
+    ssize_t result = some > 0 || count == 0 ? real(file, from, some) : 0;
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    return result;
+}
+
+ssize_t writev(int file, const struct iovec *parts, int count) {
+    REAL(ssize_t, writev, int, const struct iovec *, int)
+    if (!in_scope(file) || (page[SEND_ERRNO] == 0 && page[SEND_SHORT] == 0)) {
+        return real(file, parts, count);
+    }
+    int error = fault(SEND_ERRNO);
+    size_t all = 0;
+    for (int part = 0; part < count; part++) {
+        all += parts[part].iov_len;
+    }
+    size_t left = sent(all, error);
+    ssize_t taken = 0;
+    for (int part = 0; part < count && left > 0; part++) {
+        size_t some = parts[part].iov_len < left ? parts[part].iov_len : left;
+        struct iovec one = {parts[part].iov_base, some};
+        ssize_t result = some > 0 ? real(file, &one, 1) : 0;
+        if (result < 0) {
+            break;
+        }
+        taken += result;
+        left -= some;
+        if ((size_t) result < some) {
+            break;
+        }
+    }
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    if (taken == 0 && all > 0) {
+        errno = EAGAIN;
+        return -1;
+    }
+    return taken;
+}
+
+int shutdown(int file, int how) {
+    REAL(int, shutdown, int, int)
+    if (in_scope(file)) {
+        FAIL(SHUTDOWN_ERRNO);
+    }
+    return real(file, how);
+}
+
+int epoll_wait(int poll, struct epoll_event *events, int most, int timeout) {
+    REAL(int, epoll_wait, int, struct epoll_event *, int, int)
+    FAIL(POLL_ERRNO);
+    return real(poll, events, most, timeout);
+}
+
 #define PREAD(name) \
     ssize_t name(int file, void *into, size_t count, off64_t at) { \
         REAL(ssize_t, name, int, void *, size_t, off64_t) \
@@ -194,13 +300,33 @@
 int accept(int file, struct sockaddr *address, socklen_t *length) {
     REAL(int, accept, int, struct sockaddr *, socklen_t *)
     FAIL(ACCEPT_ERRNO);
-    return real(file, address, length);
+    int accepted = real(file, address, length);
+    set_origin(accepted, ACCEPTED_SOCKETS);
+    return accepted;
+}
+
+int accept4(int file, struct sockaddr *address, socklen_t *length, int flags) {
+    REAL(int, accept4, int, struct sockaddr *, socklen_t *, int)
+    FAIL(ACCEPT_ERRNO);
+    int accepted = real(file, address, length, flags);
+    set_origin(accepted, ACCEPTED_SOCKETS);
+    return accepted;
 }
 
 int connect(int file, const struct sockaddr *address, socklen_t length) {
     REAL(int, connect, int, const struct sockaddr *, socklen_t)
-    FAIL(CONNECT_ERRNO);
-    return real(file, address, length);
+    int error = fault(CONNECT_ERRNO);
+    if (error != 0 && page[CONNECT_EFFECT] == 0) {
+        errno = error;
+        return -1;
+    }
+    int result = real(file, address, length);
+    set_origin(file, CONNECTED_SOCKETS);
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    return result;
 }
 
 int socket(int domain, int type, int protocol) {
