Notices follow an unanswered request where no connection can be opened

Cause: a notice that came due needed a connection of its own; all that stood were waiting for answers. Ruled out: the ends were decided in time, and the folder took their records. Change: where a connection cannot be opened, the next request follows on one that waits (HTTP/1.1 pipelining), the one with the fewest unanswered requests; each request keeps its own timer and what it tells.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -20,9 +20,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +35,8 @@
  *
  * <p>The platform answers at once, so one connection carries one request after another. Where an answer is slow, what
  * comes due meanwhile does not wait for it but goes on another connection, and the request stays open for its answer: a
- * slow platform would never be heard if each request were given up for a new one.
+ * slow platform would never be heard if each request were given up for a new one. Where no connection can be opened, it
+ * follows a request that waits for its answer, on that one's connection.
  */
 final class Notices {
     /** What comes due waits so long for the answer to the request before it. */
@@ -150,6 +153,19 @@
                 fresh);
     }
 
+    /** What is due follows a request that is still unanswered; false if there is no such connection. */
+    private boolean pipeline() {
+        due.removeIf(held -> !owed.contains(held));
+        final Optional<Line> shared = late.stream().filter(Line::isOpen).min(Comparator.comparingInt(Line::unanswered));
+        if (due.isEmpty() || shared.isEmpty()) {
+            return false;
+        }
+        line = shared.get();
+        late.remove(line);
+        line.post();
+        return true;
+    }
+
     /** What a request told is due again, ahead of the rest, unless it has been confirmed. */
     private void dueAgain(final List<Held> told) {
         for (int index = told.size() - 1; index >= 0; index--) {
@@ -194,17 +210,16 @@
         return (item + "\n").getBytes(StandardCharsets.UTF_8);
     }
 
-    /** A connection to the platform; it carries one request at a time. */
+    /** A request that is out: what it tells, and the timer that tells it once more beside it. */
+    private record Request(List<Held> told, ScheduledFuture<?> noAnswer) {}
+
+    /** A connection to the platform. It carries one request at a time while further connections can be opened. */
     private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress target;
+        private final Deque<Request> requests = new ArrayDeque<>();
         private ChannelHandlerContext context;
-        /** What the request that is out tells; null while none is. */
-        private List<Held> told;
-
         /** Lets what comes due go on another connection. */
         private ScheduledFuture<?> slowAnswer;
-        /** Tells once more what this request tells. */
-        private ScheduledFuture<?> noAnswer;
 
         private boolean up;
 
@@ -218,11 +233,20 @@
         }
 
         private boolean isResting() {
-            return up && told == null;
+            return up && requests.isEmpty();
+        }
+
+        private boolean isOpen() {
+            return up && context.channel().isActive() && target.equals(address);
         }
 
         private boolean isUsable() {
-            return isResting() && context.channel().isActive() && target.equals(address);
+            return isResting() && isOpen();
+        }
+
+        /** Requests without an answer. */
+        private int unanswered() {
+            return requests.size();
         }
 
         private void close() {
@@ -241,7 +265,7 @@
             final boolean awaited = line == this;
             up = true;
             late.remove(this);
-            cancelTimers();
+            slowAnswer.cancel(false);
             if (dropped || !target.equals(address) || line != null && !awaited) {
                 close();
                 if (awaited) {
@@ -260,17 +284,11 @@
 
         /** The connection and the answer are waited for; what comes due goes elsewhere if that takes long. */
         private void awaitAnswer() {
-            cancelTimers();
-            final int waitMs = SLOW_MS * (1 + late.size() / LATE_PER_WAIT);
-            slowAnswer = loop.schedule(this::isSlow, waitMs, TimeUnit.MILLISECONDS);
-            noAnswer = loop.schedule(this::isNotAnswered, ANSWER_MS, TimeUnit.MILLISECONDS);
-        }
-
-        private void cancelTimers() {
             if (slowAnswer != null) {
                 slowAnswer.cancel(false);
-                noAnswer.cancel(false);
             }
+            final int waitMs = SLOW_MS * (1 + late.size() / LATE_PER_WAIT);
+            slowAnswer = loop.schedule(this::isSlow, waitMs, TimeUnit.MILLISECONDS);
         }
 
         private void isSlow() {
@@ -281,13 +299,11 @@
             }
         }
 
-        private void isNotAnswered() {
-            if (told != null) {
-                Log.info("the platform has not answered " + told.size() + " notices in " + ANSWER_MS
-                        + " ms: they are told again beside that request");
-                dueAgain(told);
-                flush();
-            }
+        private void isNotAnswered(final List<Held> told) {
+            Log.info("the platform has not answered " + told.size() + " notices in " + ANSWER_MS
+                    + " ms: they are told again beside that request");
+            dueAgain(told);
+            flush();
         }
 
         private void post() {
@@ -301,7 +317,7 @@
                 body.writeBytes(text);
                 some.add(due.pollFirst());
             }
-            told = some;
+            requests.add(new Request(some, loop.schedule(() -> isNotAnswered(some), ANSWER_MS, TimeUnit.MILLISECONDS)));
             awaitAnswer();
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/outcomes", body);
             request.headers()
@@ -313,13 +329,23 @@
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final FullHttpResponse answer) {
-            if (told == null || answer.decoderResult().isFailure()) {
+            final Request request = requests.poll();
+            if (request == null) {
+                ctx.close();
+                return;
+            }
+            request.noAnswer().cancel(false);
+            if (answer.decoderResult().isFailure()) {
+                requests.addFirst(request);
                 ctx.close();
                 return;
             }
-            final List<Held> answered = told;
-            told = null;
-            cancelTimers();
+            final List<Held> answered = request.told();
+            if (!requests.isEmpty()) {
+                take(answer.status().code(), answered, false);
+                return;
+            }
+            slowAnswer.cancel(false);
             late.remove(this);
             final boolean current = line == this;
             final boolean reusable = HttpUtil.isKeepAlive(answer) && target.equals(address);
@@ -369,13 +395,12 @@
         private void lost() {
             spare.remove(this);
             final boolean wasLate = late.remove(this);
-            final List<Held> unanswered = told == null ? List.of() : told;
-            final boolean underWay = told != null || !up;
-            told = null;
-            cancelTimers();
+            final boolean underWay = !isResting();
+            final List<Held> unanswered = takeUnanswered();
+            slowAnswer.cancel(false);
             if (line == this) {
                 line = null;
-                if (underWay) {
+                if (underWay && (up || !pipeline())) {
                     again(unanswered);
                 }
             } else if (wasLate) {
@@ -384,6 +409,15 @@
             }
         }
 
+        private List<Held> takeUnanswered() {
+            requests.forEach(request -> request.noAnswer().cancel(false));
+            final List<Held> unanswered = requests.stream()
+                    .flatMap(request -> request.told().stream())
+                    .toList();
+            requests.clear();
+            return unanswered;
+        }
+
         @Override
         public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
             FatalError.endOn("notices to the platform", cause);
