A request whose write failed may have run; DeliveryRules decide what may be sent again

Cause: Netty closes a connection on a failed write and fails what was queued; the call counted as NO_CONNECTION, 'never ran', though the socket may have taken every byte. Change: a channel that knows whether a write was tried and failed; a request is NOT_SENT, IN_DOUBT or SENT, and one module, DeliveryRules, turns that into the result, and says what may be repeated or refused (Control asks it too). A message of a request given to its connection is told as timed out when its own time is up, no more as never sent. A half-close that fails closes. A pass carries each decision out once though another one throws.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -1053,15 +1053,12 @@
     /** Rule on effects, and the most attempts. */
     private boolean maySend(final Job job) {
         final Effect effect = job.kind.effect();
-        final boolean remembered = effect == Effect.KEYED && nowUs < job.keyEndUs();
-        final boolean harmless = !job.mayHaveRun || effect == Effect.SAFE || remembered;
-        return harmless && job.attempts < limits.mostAttempts();
+        return DeliveryRules.mayRepeat(effect, job.mayHaveRun, nowUs < job.keyEndUs())
+                && job.attempts < limits.mostAttempts();
     }
 
     private static boolean mayRefuse(final Job job) {
-        return !job.mayHaveRun
-                || job.kind.effect() == Effect.SAFE
-                || job.kind.effect() == Effect.KEYED && !job.kind.zoneKeyed();
+        return DeliveryRules.mayRefuse(job.kind, job.mayHaveRun);
     }
 
     /** Gives the final answer: a refusal where that is harmless, or a failure. */
--- a/src/main/java/driftchute/node/Counters.java
+++ b/src/main/java/driftchute/node/Counters.java
@@ -11,6 +11,8 @@
     private int turnedAway;
     private int ended;
     private int shed;
+    private int requestsInDoubt;
+    private int answersInDoubt;
 
     /** A message was taken. */
     void taken() {
@@ -32,6 +34,16 @@
         ended++;
     }
 
+    /** A call's request may have left although a write failed; the result is how many there were. */
+    int requestInDoubt() {
+        return ++requestsInDoubt;
+    }
+
+    /** A client may have read that its message is taken on although a write failed; likewise. */
+    int answerInDoubt() {
+        return ++answersInDoubt;
+    }
+
     void outcome(final Courier.Result result) {
         outcomes.merge(result, 1, Integer::sum);
     }
@@ -39,8 +51,9 @@
     /** The counts as text; they begin anew. */
     String take() {
         final String text = "taken " + taken + ", turned away " + turnedAway + ", ended undelivered " + ended
-                + ", shed " + shed + ", attempts " + outcomes;
-        taken = turnedAway = ended = shed = 0;
+                + ", shed " + shed + ", in doubt " + requestsInDoubt + " requests and " + answersInDoubt
+                + " answers, attempts " + outcomes;
+        taken = turnedAway = ended = shed = requestsInDoubt = answersInDoubt = 0;
         outcomes.clear();
         return text;
     }
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import driftchute.Courier;
 import driftchute.Courier.Result;
+import driftchute.DeliveryRules;
+import driftchute.DeliveryRules.Transmission;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,8 +20,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -51,7 +51,7 @@
 /**
  * Calls to endpoints, with one message or several, over connections that are kept and carry one call at a time. It
  * tells the {@link Host} how each message fared, above all whether it can have run: that turns on whether the call's
- * last byte was written before the connection broke.
+ * last byte may have left before the connection broke, as {@link DeliveryRules} decide.
  */
 final class Endpoints {
     private static final long US_PER_MS = 1000;
@@ -105,7 +105,7 @@
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
         this.bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(TrackedSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -160,8 +160,13 @@
         /** Sent as several: so is its answer, also when the time of some is up before it comes. */
         private final boolean many;
 
-        private Channel channel;
+        private TrackedSocketChannel channel;
         private boolean started;
+        /** Its request has been given to the connection, before which so many writes had been tried there. */
+        private boolean handedOver;
+
+        private long writesBefore;
+        /** The socket has taken all of its request. */
         private boolean written;
         /** Its first line says 200, which is true whatever becomes of the rest. */
         private boolean delivered;
@@ -182,6 +187,14 @@
             return endpoint;
         }
 
+        /** What is known of its request. */
+        private Transmission transmission() {
+            if (written) {
+                return Transmission.SENT;
+            }
+            return handedOver ? channel.ofUnfinished(writesBefore) : Transmission.NOT_SENT;
+        }
+
         private List<String> ids() {
             return parcels.stream().map(parcel -> parcel.open().held.id).toList();
         }
@@ -320,11 +333,16 @@
                     TimeUnit.MICROSECONDS);
         }
         call.started = true;
-        final Reader idle = idle(call.pool);
-        if (idle != null) {
-            idle.write(call);
-        } else {
-            connect(call);
+        try {
+            final Reader idle = idle(call.pool);
+            if (idle != null) {
+                idle.write(call);
+            } else {
+                connect(call);
+            }
+        } catch (final RuntimeException e) {
+            Log.failure("call of " + call.ids() + " cannot begin", e);
+            abandon(call, Result.NO_CONNECTION);
         }
     }
 
@@ -358,7 +376,7 @@
         }
         connections++;
         opened++;
-        call.channel = connecting.channel();
+        call.channel = (TrackedSocketChannel) connecting.channel();
         call.channel.closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
@@ -391,21 +409,22 @@
             call.channel.close();
         }
         end(call);
-        final Result sure = call.delivered
-                ? Result.DELIVERED
-                : call.written || result == Result.NOT_SENT ? result : neverWritten(result);
-        tell(call, new Answer(sure, call.delivered, 0, null));
+        tellEnded(call, result);
     }
 
-    /** What gave up a call that was never written whole cannot have run. */
-    private static Result neverWritten(final Result result) {
-        return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
+    /** Tells the outcome of a call that no answer has ended, and for what reason it has. */
+    private void tellEnded(final Call call, final Result reason) {
+        final Transmission request = call.transmission();
+        if (request == Transmission.IN_DOUBT) {
+            host.requestInDoubt(call.ids(), call.pool.address);
+        }
+        final Result result = call.delivered ? Result.DELIVERED : DeliveryRules.resultOf(request, reason);
+        tell(call, new Answer(result, call.delivered, 0, null));
     }
 
     /**
      * A message whose own time is up leaves a call that others still wait for. It is not sent again. With the last of
-     * its
-     * messages the call is given up; one that is not written yet had none of them run.
+     * its messages the call is given up. In a request that has been given to its connection it may still go out.
      */
     private void expire(final Call call, final Host.Parcel parcel) {
         if (!calls.contains(call) || !call.parcels.contains(parcel)) {
@@ -416,11 +435,12 @@
             return;
         }
         call.parcels.remove(parcel);
-        if (call.written) {
+        if (call.handedOver) {
             call.left.add(parcel);
             host.staysOut(parcel);
         }
-        host.outcome(parcel, call, new Answer(call.written ? Result.TIMED_OUT : Result.NO_CONNECTION, false, 0, null));
+        final Transmission request = call.handedOver ? Transmission.SENT : Transmission.NOT_SENT;
+        host.outcome(parcel, call, new Answer(DeliveryRules.resultOf(request, Result.TIMED_OUT), false, 0, null));
     }
 
     /** A call is out no more; false if it was not. */
@@ -527,12 +547,21 @@
                 abandon(next, Result.NO_CONNECTION);
                 return;
             }
+            next.parcels.stream().toList().forEach(parcel -> dropUnlessAllowed(next, parcel));
+            if (next.parcels.isEmpty()) {
+                end(next);
+                context.close();
+                return;
+            }
             call = next;
-            call.channel = context.channel();
+            call.channel = (TrackedSocketChannel) context.channel();
             head = null;
             firstLine = call.many ? null : new StringBuilder();
             body.reset();
-            context.writeAndFlush(request(call)).addListener(done -> {
+            final FullHttpRequest request = request(call);
+            call.writesBefore = call.channel.writes();
+            call.handedOver = true;
+            context.writeAndFlush(request).addListener(done -> {
                 if (done.isSuccess()) {
                     next.written = true;
                     host.figures().forwarded(next.parcels.size());
@@ -540,6 +569,14 @@
             });
         }
 
+        /** Takes a message out of a call whose first byte is due, if the message may not go out now. */
+        private void dropUnlessAllowed(final Call due, final Host.Parcel parcel) {
+            if (!host.mayWrite(parcel, due)) {
+                due.parcels.remove(parcel);
+                host.outcome(parcel, due, new Answer(Result.NOT_SENT, false, 0, null));
+            }
+        }
+
         private void close() {
             if (call == null) {
                 unpool();
@@ -554,7 +591,7 @@
         private void letGo() {
             late = call.pool;
             call = null;
-            ((SocketChannel) context.channel()).shutdownOutput();
+            HalfClose.orClose((TrackedSocketChannel) context.channel());
             loop.schedule(() -> context.close(), LATE_MS, TimeUnit.MILLISECONDS);
         }
 
@@ -639,11 +676,10 @@
             if (cut == null || !end(cut)) {
                 return;
             }
-            if (cut.delivered) {
-                final boolean read = head != null && head.status().code() == OK;
-                tell(cut, read ? answer(cut.pool, head, 0) : new Answer(Result.DELIVERED, true, 0, null));
+            if (cut.delivered && head != null && head.status().code() == OK) {
+                tell(cut, answer(cut.pool, head, 0));
             } else {
-                tell(cut, new Answer(cut.written ? Result.RESET : Result.NO_CONNECTION, false, 0, null));
+                tellEnded(cut, Result.NO_CONNECTION);
             }
         }
 
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -102,15 +102,26 @@
 
     /** As {@link #past}, where the call that is out goes on at a process that still lives. */
     Courier.Past pastBut(final Clock clock, final long endpoint) {
-        final boolean ran = firstRunPersistentUs != NEVER;
+        final Courier.Past settled = settledPast(clock);
         return new Courier.Past(
-                attempts,
-                ran,
-                ran ? clock.fromPersistentUs(firstRunPersistentUs) : 0,
-                runZone,
+                settled.attempts(),
+                settled.mayHaveRun(),
+                settled.firstRunUs(),
+                settled.runZone(),
                 new Courier.Out(endpoint, clock.fromPersistentUs(outPersistentUs)));
     }
 
+    /** True if an attempt may have run, or is out. */
+    boolean mayHaveRun() {
+        return firstRunPersistentUs != NEVER || isOut();
+    }
+
+    /** What the attempts before the one that is out may have done. */
+    Courier.Past settledPast(final Clock clock) {
+        final boolean ran = firstRunPersistentUs != NEVER;
+        return new Courier.Past(attempts, ran, ran ? clock.fromPersistentUs(firstRunPersistentUs) : 0, runZone);
+    }
+
     /** What a process that did not see the attempts may count on. A call that was out may have run. */
     Courier.Past past(final Clock clock) {
         final long firstPersistentUs = Math.min(firstRunPersistentUs, outPersistentUs);
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -2,8 +2,12 @@
 
 import driftchute.Control;
 import driftchute.Courier;
+import driftchute.DeliveryRules;
+import driftchute.DeliveryRules.Transmission;
+import driftchute.DeliveryRules.Violation;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,8 +15,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * The one that calls {@link Control}: it tells it what the sockets brought in a pass of the event loop, lets it decide
@@ -43,6 +49,8 @@
     private static final double UNREAD_SHARE = 0.25;
     /** Share of a key's window that is kept free at its end, as the decisions do. */
     private static final double KEY_MARGIN = 0.05;
+    /** Requests and answers in doubt that are told in the log by their ids, in each time between two reports. */
+    private static final int MOST_DOUBTS_LOGGED = 50;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
 
@@ -131,6 +139,10 @@
 
     private final Map<String, Held> answered = new HashMap<>();
     private final Counters counters = new Counters();
+    private final DeliveryRules rules = new DeliveryRules();
+    /** True while this process holds the lock of its state folder. */
+    private BooleanSupplier holdsLock = () -> true;
+
     private final UnrecordedCalls unrecordedCalls;
     private final StallDetector stalls;
     private final Figures figures;
@@ -246,6 +258,11 @@
         }
     }
 
+    /** Decisions are made only while that holds: another process may own the state folder otherwise. */
+    void decideOnlyWhile(final BooleanSupplier lockIsHeld) {
+        holdsLock = lockIsHeld;
+    }
+
     /** Runs what depends on the list once it is known what counts as told, or cannot be had. */
     void whenListed(final Runnable begin) {
         discovery.whenHeard(begin);
@@ -543,6 +560,18 @@
         figures.declined(className);
     }
 
+    /**
+     * The answer that takes a message on has failed. Only if its client surely did not hear it is the message dropped:
+     * otherwise it is owed its end.
+     */
+    void acceptanceFailed(final String id, final Transmission answer) {
+        if (DeliveryRules.mayWithdraw(answer)) {
+            withdraw(id);
+        } else if (counters.answerInDoubt() <= MOST_DOUBTS_LOGGED) {
+            Log.info("message " + id + " goes on: its client may have read that it is taken on");
+        }
+    }
+
     /** The client went before it was answered: nobody knows of this message, and nobody wants it. */
     void withdraw(final String id) {
         if (leaving != null) {
@@ -589,6 +618,38 @@
         }
     }
 
+    /** A write of a call's request has failed and may have taken effect: its messages may have run. */
+    void requestInDoubt(final List<String> ids, final InetSocketAddress to) {
+        if (counters.requestInDoubt() <= MOST_DOUBTS_LOGGED) {
+            Log.info("call of " + ids + " to " + to + ": a write failed, and the request may have left");
+        }
+    }
+
+    /** Whether a message's part in a call may be written now, the last time that this is asked. */
+    boolean mayWrite(final Parcel parcel, final Endpoints.Call call) {
+        final Open open = parcel.open();
+        if (open.over) {
+            // It has ended while its connection came up.
+            return false;
+        }
+        final Optional<Violation> violation = DeliveryRules.violationOf(
+                new DeliveryRules.Attempt(
+                        open.kind,
+                        open.held.isOut(),
+                        open.isIn(call),
+                        mayCall(call.endpoint()),
+                        open.held.settledPast(clock),
+                        discovery.zone(call.endpoint())),
+                clock.nowUs());
+        violation.ifPresent(rule -> violated(rule, open.held.id));
+        return violation.isEmpty();
+    }
+
+    private void violated(final Violation rule, final String what) {
+        rules.count(rule);
+        Log.info("violation prevented: " + rule + ", " + what + "; " + rules.counts());
+    }
+
     /** An answer told to wait: that binds whether or not a message still hangs on it. */
     void waitTold(final long endpoint, final long waitUs) {
         if (leaving == null) {
@@ -687,6 +748,10 @@
         if (journal == null || leaving != null) {
             return;
         }
+        if (!holdsLock.getAsBoolean()) {
+            violated(Violation.DECISION_WITHOUT_LOCK, config.name());
+            return;
+        }
         hear();
         try {
             control.decide(clock.nowUs());
@@ -694,8 +759,7 @@
             Log.failure("decisions failed", e);
         }
         answer();
-        outbox.forEach(this::sendAll);
-        outbox.clear();
+        sendDecided();
         notices.flush();
     }
 
@@ -707,29 +771,57 @@
             if (open.reply != null && !open.over) {
                 final Reply reply = open.reply;
                 open.reply = null;
-                reply.accepted();
+                acceptOrLog(open.held.id, reply);
             }
         }
     }
 
+    /** An answer that cannot be written must not keep the others from theirs. */
+    private static void acceptOrLog(final String id, final Reply reply) {
+        try {
+            reply.accepted();
+        } catch (final RuntimeException e) {
+            Log.failure("message " + id + " is taken on, its client cannot be answered", e);
+        }
+    }
+
+    /** Each decision is carried out once, whatever becomes of the others. */
+    private void sendDecided() {
+        final Map<Long, List<Parcel>> decided = new LinkedHashMap<>(outbox);
+        outbox.clear();
+        decided.forEach(this::sendAll);
+    }
+
     private void sendAll(final long endpoint, final List<Parcel> decided) {
         final List<Parcel> parcels = new ArrayList<>(decided);
         // Its client went while it was being answered: nobody wants it, and the same client may hand it in elsewhere.
         parcels.removeIf(this::isWithdrawn);
         final int most = Math.max(1, discovery.messagesPerCall(endpoint));
         for (int from = 0; from < parcels.size(); from += most) {
-            final List<Parcel> some = parcels.subList(from, Math.min(parcels.size(), from + most));
-            final Endpoints.Call call = endpoints.prepare(endpoint, some);
-            for (final Parcel parcel : some) {
+            send(endpoint, List.copyOf(parcels.subList(from, Math.min(parcels.size(), from + most))));
+        }
+    }
+
+    /** One call. Until it is started nothing of it can have left, so a failure before that is told as not sent. */
+    private void send(final long endpoint, final List<Parcel> parcels) {
+        final Endpoints.Call call = endpoints.prepare(endpoint, parcels);
+        final boolean recorded;
+        try {
+            for (final Parcel parcel : parcels) {
                 parcel.open().goesBy(call);
                 parcel.open().firstSentUs = parcel.open().firstSentUs == 0 ? clock.nowUs() : parcel.open().firstSentUs;
             }
-            if (recordAttempts(endpoint, some)) {
-                endpoints.start(call);
-            } else {
-                // An attempt that the journal does not know of would be forgotten by a restart.
-                unrecordedCalls.add(endpoint, some, call);
-            }
+            recorded = recordAttempts(endpoint, parcels);
+        } catch (final RuntimeException e) {
+            Log.failure("a call cannot be recorded", e);
+            endpoints.abandon(call, Courier.Result.NOT_SENT);
+            return;
+        }
+        if (recorded) {
+            endpoints.start(call);
+        } else {
+            // An attempt that the journal does not know of would be forgotten by a restart.
+            unrecordedCalls.add(endpoint, parcels, call);
         }
     }
 
@@ -794,6 +886,11 @@
         if (open == null) {
             return;
         }
+        if (!DeliveryRules.mayRefuse(open.kind, open.held.mayHaveRun())) {
+            violated(Violation.REFUSAL_AFTER_RUN, messageId);
+            fail(messageId);
+            return;
+        }
         if (open.reply == null) {
             end(open, new Held.Notice(false, retryAfterUs / US_PER_MS));
         } else {
@@ -892,7 +989,8 @@
 
     /** Every few seconds, what came and went. */
     private void report() {
-        Log.info(counters.take() + "; open " + messages.size() + ", " + endpoints.describe());
+        Log.info(counters.take() + "; open " + messages.size() + ", " + endpoints.describe() + ", violations prevented "
+                + rules.total());
     }
 
     private void count() {
