--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -13,7 +13,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -146,7 +145,7 @@
         shared = held != null;
         final ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
-                .channelFactory(() -> shared ? new NioServerSocketChannel(held) : new NioServerSocketChannel())
+                .channelFactory(() -> shared ? new TrackedServerSocketChannel(held) : new TrackedServerSocketChannel())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Door())
@@ -439,7 +438,7 @@
             dueSinceUs = NEVER;
             if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
                 socket.config().setAutoRead(true);
-                socket.shutdownOutput();
+                HalfClose.orClose(socket);
             }
             context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
@@ -601,10 +600,12 @@
                     new Host.Reply() {
                         @Override
                         public void accepted() {
-                            // A client that never gets this counts on nothing: its message is withdrawn.
+                            // A client that surely never gets this counts on nothing: its message is withdrawn.
+                            final TrackedSocketChannel connection = (TrackedSocketChannel) context.channel();
+                            final long writesBefore = connection.writes();
                             answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
                                 if (!done.isSuccess()) {
-                                    host.withdraw(id);
+                                    host.acceptanceFailed(id, connection.ofAnyPart(writesBefore));
                                 }
                             });
                         }
