--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -142,6 +142,7 @@
         host = new Host(config, loop, clock);
         intake = new Intake(config, clock, host);
         host.onShortage(intake::relieve);
+        host.decideOnlyWhile(turn::isTaken);
         if (config.mgmt() != null) {
             final Operators operators = new Operators(new Desk());
             listenForOperators(operators, 0);
@@ -343,13 +344,25 @@
     private boolean handOver() {
         try {
             host.leave(Leaving.begin(config.state(), clock, config.diskBytes()));
-            intake.leave();
-            turn.pass();
-            stopAccepting(clock.nowUs() + ACCEPT_US);
-            return true;
         } catch (final IOException e) {
             Log.failure("cannot hand over", e);
             return false;
         }
+        intake.leave();
+        passTurn(0);
+        stopAccepting(clock.nowUs() + ACCEPT_US);
+        return true;
+    }
+
+    /** A lock that could not be let go may be free or not: it is let go again, until that has worked. */
+    private void passTurn(final long failures) {
+        try {
+            turn.pass();
+        } catch (final IOException e) {
+            if (failures == 0) {
+                Log.info("the lock cannot be let go, tried again until it can: " + e.getMessage());
+            }
+            loop.schedule(() -> passTurn(failures + 1), TURN_MS, TimeUnit.MILLISECONDS);
+        }
     }
 }
--- a/src/main/java/driftchute/node/Turn.java
+++ b/src/main/java/driftchute/node/Turn.java
@@ -48,6 +48,11 @@
         return owned != null;
     }
 
+    /** True from {@link #take} on until the turn is passed on. */
+    boolean isTaken() {
+        return owned != null && owned.isValid();
+    }
+
     /** This process takes clients now, and waits for nothing more. */
     void arrive() throws IOException {
         if (waiting != null) {
