--- a/src/main/java/driftchute/node/ListStart.java
+++ b/src/main/java/driftchute/node/ListStart.java
@@ -25,6 +25,8 @@
     private Runnable waiting;
 
     private boolean firstWordLate;
+    /** The agent has told its list, perhaps before anybody waited for that. */
+    private boolean heard;
 
     /** {@code listed}: endpoints in the list in force. {@code receiving}: a list has begun and not ended. */
     ListStart(final IntSupplier listed, final BooleanSupplier receiving) {
@@ -34,6 +36,10 @@
 
     /** Runs it once, as soon as there is nothing to wait for. */
     void await(final Runnable begin, final EventLoop loop) {
+        if (heard) {
+            begin.run();
+            return;
+        }
         waiting = begin;
         loop.schedule(
                 () -> {
@@ -47,6 +53,11 @@
 
     /** The agent has told a list that is in force, or that nothing has changed. */
     void heard() {
+        heard = true;
+        begin();
+    }
+
+    private void begin() {
         final Runnable begin = waiting;
         waiting = null;
         if (begin != null) {
@@ -63,7 +74,7 @@
 
     private void beginIfListed() {
         if (listed.getAsInt() > 0 && !receiving.getAsBoolean()) {
-            heard();
+            begin();
         }
     }
 
@@ -71,7 +82,7 @@
         if (waiting != null) {
             Log.info("starts with " + listed.getAsInt() + " endpoints: no list has come in " + MOST_MS + " ms, "
                     + (receiving.getAsBoolean() ? "one is still coming" : "discovery tells none"));
-            heard();
+            begin();
         }
     }
 }
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -188,7 +188,7 @@
             StartRetry.failed("take the lock", e, lockFailures++);
         }
         if (ending || mine) {
-            serve();
+            host.whenListed(this::serve);
         } else {
             loop.schedule(this::standBy, TURN_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/test/java/driftchute/node/SlowAgentTest.java
+++ b/src/test/java/driftchute/node/SlowAgentTest.java
@@ -166,4 +166,20 @@
             assertEquals(before + 1, draining.requests.size(), "round " + round);
         }
     }
+
+    @Test
+    void aProcessThatTakesOverBeforeItsAgentHasSpokenSendsNothingToAnEndpointThatDrains() throws Exception {
+        rig.discovery = "pushed";
+        rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
+        agent();
+        rig.start();
+        headMs = 2500;
+        firstLine = drain(rig);
+        rig.replace(rig.startBeside(), true);
+        for (int count = 0; count < 12; count++) {
+            assertEquals(202, rig.handIn("m" + count, "safe").status());
+        }
+        rig.await("their calls", () -> rig.second.ids().size() >= 12);
+        assertEquals(List.of(), rig.first.ids());
+    }
 }
