Failed notices are told again sooner; the faults of one call in N have no pattern

Notices are told again after 10 ms, then 20, 40, 80, 100, in place of 100 each time. FakeServer no longer takes a request for whole whose body breaks off, nor dies over half a header.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -45,8 +45,10 @@
     private static final int LATE_PER_WAIT = 4;
     /** What has not been answered after this is told once more. */
     private static final int ANSWER_MS = 1000;
-    /** How soon a request that failed is made again: a notice is due 300 ms after its message's time is up. */
-    private static final int AGAIN_MS = 100;
+    /** How soon a request that failed is made again at first and, with each failure twice as late, at the latest. */
+    private static final int FIRST_AGAIN_MS = 10;
+
+    private static final int LAST_AGAIN_MS = 100;
     /** Connections that are kept beside the one in use, after a time of slow answers. */
     private static final int MOST_SPARE = 8;
     /** Requests without an answer, beside the one that is waited for. */
@@ -80,6 +82,7 @@
     private boolean alone;
 
     private boolean dropped;
+    private int againMs = FIRST_AGAIN_MS;
 
     Notices(final InetSocketAddress address, final EventLoop loop, final Host host) {
         this.address = address;
@@ -178,7 +181,8 @@
     /** A request has failed: what it told is due again after a moment. */
     private void again(final List<Held> told) {
         dueAgain(told);
-        loop.schedule(this::next, AGAIN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::next, againMs, TimeUnit.MILLISECONDS);
+        againMs = Math.min(LAST_AGAIN_MS, 2 * againMs);
     }
 
     private void next() {
@@ -187,6 +191,7 @@
     }
 
     private void confirmed(final List<Held> told) {
+        againMs = FIRST_AGAIN_MS;
         host.noticed(told.stream().filter(owed::remove).toList());
     }
 
--- a/src/test/java/driftchute/node/FakeServer.java
+++ b/src/test/java/driftchute/node/FakeServer.java
@@ -1,6 +1,7 @@
 package driftchute.node;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -106,11 +107,18 @@
         final Map<String, String> headers = new TreeMap<>();
         for (String header = line(in); !header.isEmpty(); header = line(in)) {
             final int colon = header.indexOf(':');
+            if (colon < 0) {
+                throw new EOFException("a request breaks off in its head");
+            }
             headers.put(
                     header.substring(0, colon).toLowerCase(Locale.ROOT),
                     header.substring(colon + 1).trim());
         }
-        final byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        final int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        final byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("a request breaks off in its body");
+        }
         return new Request(line, headers, body, connection, System.nanoTime());
     }
 
--- a/src/test/java/driftchute/node/SoakPlay.java
+++ b/src/test/java/driftchute/node/SoakPlay.java
@@ -75,6 +75,7 @@
     /** Connections may break, and with them watches. */
     private volatile boolean connectionsFail;
 
+    private volatile boolean sendsFail;
     private volatile long unreachableSinceMs = -1;
     private volatile long agentMs;
     private volatile long noticeMs;
@@ -289,8 +290,11 @@
         final int oneIn = 1 + random.nextInt(3);
         final boolean takesEffect = random.nextBoolean();
         note(fault + " " + error + ", one in " + oneIn + (takesEffect ? ", after its effect" : ""));
+        // Sends that fail meanwhile do so as often as drawn for them.
+        if (!sendsFail) {
+            rig.faults.set(Fault.ONE_IN, oneIn);
+        }
         rig.faults
-                .set(Fault.ONE_IN, oneIn)
                 .set(Fault.WRITE_EFFECT, takesEffect ? FaultPage.ALL_BYTES : random.nextInt(40))
                 .set(Fault.RENAME_EFFECT, takesEffect ? 1 : 0)
                 .set(fault, error);
@@ -315,6 +319,7 @@
         note("sends fail with " + error + ", effect " + effect + ", scope " + scope + ", one in " + oneIn + ", beside "
                 + other);
         connectionsFail = true;
+        sendsFail = true;
         if (oneIn == 1 && effect != FaultPage.ALL_BYTES && scope != FaultPage.ACCEPTED_SOCKETS) {
             unreachableSinceMs = record.nowMs();
         }
@@ -348,6 +353,7 @@
     private void clearFaults() {
         rig.faults.clear();
         connectionsFail = false;
+        sendsFail = false;
         if (unreachableSinceMs >= 0) {
             record.unreachable(unreachableSinceMs);
             unreachableSinceMs = -1;
--- a/src/test/native/faults.c
+++ b/src/test/native/faults.c
@@ -58,14 +58,23 @@
     close(file);
 }
 
-/* The error that a call of that kind fails with now, or 0; one call in so many where the page says so. */
+/* A number without a pattern: counted off, one call in N would always hit the same step of a loop that makes N calls. */
+static unsigned scattered(unsigned number) {
+    number ^= number >> 16;
+    number *= 0x7feb352dU;
+    number ^= number >> 15;
+    number *= 0x846ca68bU;
+    return number ^ number >> 16;
+}
+
+/* The error that a call of that kind fails with now, or 0; on average one call in so many where the page says so. */
 static int fault(int kind) {
     int64_t error = page[kind];
     if (error == 0) {
         return 0;
     }
     int64_t one_in = page[ONE_IN];
-    return one_in > 1 && __sync_add_and_fetch(&calls, 1) % one_in != 0 ? 0 : (int) error;
+    return one_in > 1 && scattered(__sync_add_and_fetch(&calls, 1)) % one_in != 0 ? 0 : (int) error;
 }
 
 static int is_ours(int file) {
