--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -1,17 +1,11 @@
 package driftchute.node;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import driftchute.Courier;
 import driftchute.Courier.Result;
 import driftchute.DeliveryRules;
 import driftchute.DeliveryRules.Transmission;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -20,21 +14,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -55,7 +44,6 @@
  */
 final class Endpoints {
     private static final long US_PER_MS = 1000;
-    private static final double US_PER_SECOND = 1_000_000;
     private static final int MOST_BODY_BYTES = 1 << 16;
     /** Share of the endpoints' own limit after which an idle connection is closed: a request may not cross it. */
     private static final double IDLE_SHARE = 0.8;
@@ -70,17 +58,12 @@
     private static final int MOST_LINE_CHARS = 64;
     private static final int OK = 200;
     private static final int INFORMATIONAL = 200;
-    private static final int GONE = 410;
-    private static final int BUSY = 429;
-    private static final int UNAVAILABLE = 503;
-    private static final int NO_MORE = 504;
 
     private final Clock clock;
     private final StallDetector stalls;
     private final EventLoop loop;
     private final Host host;
     private final Bootstrap bootstrap;
-    private final ObjectMapper json = new ObjectMapper();
     private final long idleUs;
     private final int mostConnections;
     private final Map<Long, Pool> pools = new HashMap<>();
@@ -602,7 +585,7 @@
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
             if (late != null && part instanceof HttpResponse response) {
-                heed(late, waitUs(response));
+                heed(late, CallCodec.waitUs(response));
             }
             if (call == null) {
                 // Bytes that answer nothing: this connection cannot be trusted.
@@ -657,7 +640,7 @@
             } else {
                 context.close();
             }
-            final long waitUs = waitUs(head);
+            final long waitUs = CallCodec.waitUs(head);
             heed(done.pool, waitUs);
             final Answer all = answer(done.pool, head, waitUs);
             if (done.many && head.status().code() == OK) {
@@ -685,23 +668,9 @@
 
         /** Several messages' ends, each with its state; one that is not named may have run. */
         private void tellEach(final Call done, final Answer all) {
-            final Map<String, String> states = new HashMap<>();
-            try {
-                for (final JsonNode item : json.readTree(body.toByteArray())) {
-                    states.put(item.path("id").asText(), item.path("state").asText());
-                }
-            } catch (final IOException e) {
-                Log.info("an endpoint's answer to several messages cannot be read: " + e.getMessage());
-            }
+            final Map<String, String> states = CallCodec.states(body.toByteArray());
             for (final Host.Parcel parcel : done.parcels) {
-                final Answer one =
-                        switch (states.getOrDefault(parcel.open().held.id, "")) {
-                            case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
-                            case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
-                            case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
-                            case "no_more" -> new Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
-                            default -> new Answer(Result.ERROR, false, all.waitUs(), all.allowance());
-                        };
+                final Answer one = CallCodec.answerOfOne(states.getOrDefault(parcel.open().held.id, ""), all);
                 host.outcome(parcel, done, one);
             }
         }
@@ -721,94 +690,22 @@
         }
     }
 
-    // ---------------------------------------------------------------- requests and answers
-
     private FullHttpRequest request(final Call call) {
-        final boolean many = call.many;
-        final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body;
-        final FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.POST, many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
-        request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS));
-        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (many) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        } else {
-            final Held held = call.parcels.get(0).open().held;
-            request.headers().set("X-Request-ID", held.id);
-            if (held.idempotencyKey != null) {
-                request.headers().set("Idempotency-Key", held.idempotencyKey);
-            }
-        }
-        return request;
-    }
-
-    private byte[] bulk(final Call call) {
-        final ArrayNode items = json.createArrayNode();
-        for (final Host.Parcel parcel : call.parcels) {
-            final Held held = parcel.open().held;
-            final ObjectNode item = items.addObject().put("id", held.id);
-            if (held.idempotencyKey != null) {
-                item.put("key", held.idempotencyKey);
-            }
-            item.put("body", held.body);
-        }
-        try {
-            return json.writeValueAsString(items).getBytes(StandardCharsets.UTF_8);
-        } catch (final JsonProcessingException e) {
-            throw new IllegalStateException("writing to memory failed", e);
-        }
+        final List<Held> messages =
+                call.parcels.stream().map(parcel -> parcel.open().held).toList();
+        final long timeoutMs = Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS);
+        final String to = call.pool.address.getHostString();
+        return call.many
+                ? CallCodec.ofSeveral(messages, to, timeoutMs)
+                : CallCodec.ofOne(messages.get(0), to, timeoutMs);
     }
 
     private static Answer answer(final Pool pool, final HttpResponse head, final long waitUs) {
-        final String report = head.headers().get("X-Server-Load");
-        final Courier.Allowance allowance = allowance(report);
-        if (report != null && allowance == null && !pool.misreports) {
+        if (!pool.misreports && CallCodec.misreports(head)) {
             // Once: the endpoint may say so with every answer.
             pool.misreports = true;
-            Log.info(pool.address + " reports what no limit can be: " + report);
-        }
-        final boolean lineBusy = "1".equals(head.headers().get("X-Line-Busy"));
-        return switch (head.status().code()) {
-            case OK -> new Answer(Result.DELIVERED, true, waitUs, allowance);
-            case BUSY -> new Answer(Result.REFUSED, false, waitUs, allowance);
-            case UNAVAILABLE -> new Answer(lineBusy ? Result.NOT_SENT : Result.REFUSED, false, waitUs, allowance);
-            case NO_MORE -> new Answer(Result.NOT_SENT, false, waitUs, allowance);
-            case GONE -> new Answer(Result.NOT_SENT, true, waitUs, allowance);
-            default -> new Answer(Result.ERROR, false, waitUs, allowance);
-        };
-    }
-
-    /** The wait that an answer tells: seconds, with decimals. One that cannot be read is none. */
-    private static long waitUs(final HttpResponse head) {
-        final String text = head.headers().get(HttpHeaderNames.RETRY_AFTER);
-        try {
-            return text == null ? 0 : Math.max(0, (long) Math.ceil(Double.parseDouble(text) * US_PER_SECOND));
-        } catch (final NumberFormatException e) {
-            return 0;
-        }
-    }
-
-    /** What a destination told of its limit; null if it told nothing, or nothing that can be read. */
-    private static Courier.Allowance allowance(final String report) {
-        if (report == null) {
-            return null;
-        }
-        double shareLeft = Double.NaN;
-        double callsPerSecond = Double.NaN;
-        try {
-            for (final String field : report.split(",")) {
-                final String value = field.substring(field.indexOf('=') + 1).trim();
-                if (field.trim().startsWith("x0=")) {
-                    shareLeft = Double.parseDouble(value);
-                } else if (field.trim().startsWith("x1=")) {
-                    callsPerSecond = Double.parseDouble(value);
-                }
-            }
-        } catch (final NumberFormatException e) {
-            return null;
+            Log.info(pool.address + " reports what no limit can be: " + CallCodec.report(head));
         }
-        final boolean whole = Double.isFinite(shareLeft) && Double.isFinite(callsPerSecond) && callsPerSecond >= 0;
-        return whole ? new Courier.Allowance(shareLeft, callsPerSecond) : null;
+        return CallCodec.answer(head, waitUs);
     }
 }
--- a/src/test/java/driftchute/node/SocketFaultsTest.java
+++ b/src/test/java/driftchute/node/SocketFaultsTest.java
@@ -50,6 +50,8 @@
                 FaultPage.EIO,
                 FaultPage.ALL_BYTES,
                 2)),
+        ONE_SEND_AFTER_ITS_EFFECT_OR_POLL_IN_TWO(
+                faults -> sends(faults.set(Fault.POLL_ERRNO, FaultPage.EINTR), FaultPage.EIO, FaultPage.ALL_BYTES, 2)),
         ONE_READ_OR_SEND_IN_THREE(faults ->
                 sends(faults.set(Fault.RECEIVE_ERRNO, FaultPage.ETIMEDOUT), FaultPage.EIO, FaultPage.ALL_BYTES, 3));
 
