--- a/src/test/java/driftchute/node/SoakPlay.java
+++ b/src/test/java/driftchute/node/SoakPlay.java
@@ -16,8 +16,8 @@
 
 /**
  * One seeded play before a real courier: clients that use their open connections until the kill, endpoints, an agent
- * and a platform of their own pace, signals in series, and faults of folder, sockets and clocks. The same seed and range
- * of faults draw the same schedule.
+ * and a platform of their own pace, signals in series, and faults of folder, sockets and clocks. The same seed and
+ * range of faults draw the same schedule.
  */
 final class SoakPlay implements AutoCloseable {
     private static final int CLIENTS = 8;
