--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,11 +17,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
@@ -30,7 +29,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
@@ -58,7 +56,10 @@
     /** The path segment that names a message class or an ordering key. */
     private static final Pattern PATH_SEGMENT = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
 
+    /** When this much is queued on a connection, nothing more is read from it. */
     private static final int MAX_QUEUED_REQUESTS = 16;
+
+    private static final long MAX_QUEUED_BYTES = 64 << 10;
     private static final int ACCEPT_BACKLOG = 1024;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
@@ -68,6 +69,12 @@
      */
     private static final long REQUEST_TIMEOUT_US = 2_200_000;
 
+    /** Sizes of receive buffers: smallest, first and largest. A larger one would bring too many requests at once. */
+    private static final AdaptiveRecvByteBufAllocator RECEIVE_BUFFERS =
+            new AdaptiveRecvByteBufAllocator(64, 2 << 10, 8 << 10);
+    /** Memory of a request apart from its text: its objects and those of its headers. */
+    private static final long REQUEST_OVERHEAD_BYTES = 2 << 10;
+
     /** How long further input is read and discarded after the last response, before the connection is closed. */
     private static final long LINGER_MS = 500;
 
@@ -125,6 +132,10 @@
     private long acceptedConnections;
 
     private final Set<Session> sessions = new HashSet<>();
+    private final ConnectionMemory memory;
+    /** Connections ended for their memory since the last log line about it. */
+    private int memoryReliefs;
+
     private Channel listener;
     /** This process is shutting down: each response closes its connection. */
     private boolean shuttingDown;
@@ -145,6 +156,7 @@
         this.config = config;
         this.clock = clock;
         this.service = service;
+        this.memory = ConnectionMemory.ofHeap(Runtime.getRuntime().maxMemory());
         this.maxConnections = (int) Math.max(1, CLIENT_SOCKET_SHARE * config.sockets());
         this.connectionLimit = maxConnections;
     }
@@ -172,10 +184,11 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new AcceptFailureHandler())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, RECEIVE_BUFFERS)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        final StrictDecoder decoder = new StrictDecoder();
+                        final RequestDecoder decoder = new RequestDecoder();
                         final Session session = new Session(decoder);
                         channel.pipeline()
                                 .addLast(
@@ -296,6 +309,7 @@
         if (clock.nowUs() >= shortageUntilUs) {
             connectionLimit = maxConnections;
         }
+        logMemoryRelief();
         for (final Session session : List.copyOf(sessions)) {
             if (session.timeoutStartUs <= beforeUs) {
                 session.timeOut();
@@ -323,8 +337,34 @@
                 return;
             }
             service.connectionShed();
-            sessions.remove(longestSilent);
-            longestSilent.context.close();
+            longestSilent.closeNow();
+        }
+    }
+
+    /**
+     * While client connections hold more memory than they may, rejects the request that has been incomplete for
+     * longest.
+     */
+    private void relieveMemory() {
+        while (memory.isExceeded()) {
+            final Session longestWaiting = sessions.stream()
+                    .filter(session -> session.waitingForPeerSinceUs() != NEVER)
+                    .min(Comparator.comparingLong(Session::waitingForPeerSinceUs))
+                    .orElse(null);
+            if (longestWaiting == null) {
+                return;
+            }
+            service.connectionShed();
+            memoryReliefs++;
+            longestWaiting.releaseMemory();
+        }
+    }
+
+    private void logMemoryRelief() {
+        if (memoryReliefs > 0) {
+            Log.info("ended " + memoryReliefs + " client connections: all of them held over " + memory.limitBytes()
+                    + " bytes, now " + memory.usedBytes());
+            memoryReliefs = 0;
         }
     }
 
@@ -363,21 +403,6 @@
         }
     }
 
-    /**
-     * Rejects a request with both Content-Length and chunked encoding, which another server could parse differently.
-     */
-    private static final class StrictDecoder extends HttpRequestDecoder {
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
-            throw new IllegalArgumentException("request has both Content-Length and chunked Transfer-Encoding");
-        }
-
-        /** True if bytes of an incomplete line or body are buffered. */
-        boolean hasPartialRequest() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     /** Reports the first bytes of a request, before the decoder has a complete request head. */
     private static final class FirstBytesHandler extends ChannelInboundHandlerAdapter {
         private final Session session;
@@ -394,15 +419,25 @@
     }
 
     /** A complete request, queued until the earlier ones of its connection are answered. */
-    private record Request(HttpRequest head, byte[] body, long firstBytesUs) {}
+    private record Request(HttpRequest head, int headBytes, byte[] body, long firstBytesUs) {
+        long heldBytes() {
+            return REQUEST_OVERHEAD_BYTES + headBytes + body.length;
+        }
+    }
 
     /** One client's connection. */
     private final class Session extends SimpleChannelInboundHandler<HttpObject> {
         private ChannelHandlerContext context;
         private HttpRequest head;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int headBytes;
+        private final BodyBuffer body = new BodyBuffer(MAX_BODY_BYTES);
         private final Deque<Request> queue = new ArrayDeque<>();
-        private final StrictDecoder decoder;
+        private final RequestDecoder decoder;
+        /** Memory of the queued requests. */
+        private long queuedBytes;
+        /** Memory of the connection as last reported to {@link #memory}. */
+        private long reportedBytes;
+
         private Request current;
         private String currentId;
         private boolean reading;
@@ -426,7 +461,7 @@
          */
         private long firstBytesUs;
 
-        Session(final StrictDecoder decoder) {
+        Session(final RequestDecoder decoder) {
             this.decoder = decoder;
         }
 
@@ -482,6 +517,7 @@
             closing = true;
             reading = false;
             timeoutStartUs = NEVER;
+            dropInput();
             if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
                 socket.config().setAutoRead(true);
                 HalfClose.shutdownOutputOrClose(socket);
@@ -489,6 +525,57 @@
             context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
+        /** Closes the connection at once, and with it whatever it holds. */
+        private void closeNow() {
+            sessions.remove(this);
+            dropInput();
+            reportMemory(0);
+            context.close();
+        }
+
+        /** What has not been served is not served any more, and holds no memory. */
+        private void dropInput() {
+            queue.clear();
+            queuedBytes = 0;
+            body.clear();
+            decoder.discardInput();
+        }
+
+        // ------------------------------------------------------------ memory
+
+        /** Since when this connection has waited for its peer and held memory meanwhile, or {@link #NEVER}. */
+        private long waitingForPeerSinceUs() {
+            return requestStarted || reading ? timeoutStartUs : NEVER;
+        }
+
+        /** Rejects the incomplete request. */
+        private void releaseMemory() {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            decoder.compact();
+            updateMemory();
+        }
+
+        private void updateMemory() {
+            if (sessions.contains(this)) {
+                reportMemory(heldBytes());
+            }
+        }
+
+        private void reportMemory(final long bytes) {
+            memory.update(reportedBytes, bytes);
+            reportedBytes = bytes;
+        }
+
+        private long heldBytes() {
+            return queuedBytes
+                    + decoder.heldBytes()
+                    + body.capacity()
+                    + (requestStarted || reading ? REQUEST_OVERHEAD_BYTES : 0)
+                    + (reading ? headBytes : 0);
+        }
+
+        // ------------------------------------------------------------ requests
+
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
             context = ctx;
@@ -503,13 +590,16 @@
             if (!requestStarted && !reading && !closing && decoder.hasPartialRequest()) {
                 bytesArrived();
             }
+            updateMemory();
+            relieveMemory();
             ctx.fireChannelReadComplete();
         }
 
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             sessions.remove(this);
-            queue.clear();
+            dropInput();
+            reportMemory(0);
             if (currentId != null) {
                 service.withdraw(currentId);
             }
@@ -532,7 +622,8 @@
             }
             if (message instanceof HttpRequest request) {
                 head = request;
-                body.reset();
+                headBytes = decoder.lastHeadBytes();
+                body.clear();
                 reading = true;
                 lastRequestUs = clock.nowUs();
                 timeoutStartUs = Math.min(timeoutStartUs, lastRequestUs);
@@ -542,36 +633,40 @@
                 }
             }
             if (message instanceof HttpContent content && reading) {
-                if (body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
+                if (!body.append(content.content())) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
                 }
-                try {
-                    content.content().readBytes(body, content.content().readableBytes());
-                } catch (final IOException e) {
-                    throw new IllegalStateException("writing to memory failed", e);
-                }
                 if (message instanceof LastHttpContent) {
                     reading = false;
                     requestStarted = false;
                     timeoutStartUs = NEVER;
-                    queue.add(new Request(head, body.toByteArray(), firstBytesUs));
+                    enqueue(new Request(head, headBytes, body.take(), firstBytesUs));
                     serveNext();
                 }
             }
         }
 
+        private void enqueue(final Request request) {
+            queue.add(request);
+            queuedBytes += request.heldBytes();
+        }
+
         /** Serves the requests of the connection one at a time, so that the responses keep their order. */
         private void serveNext() {
             while (current == null && !queue.isEmpty() && !closing) {
                 current = queue.poll();
+                queuedBytes -= current.heldBytes();
                 lastRequestUs = clock.nowUs();
                 serve(current);
             }
-            if (errorStatus != null && current == null && !closing) {
+            if (errorStatus != null && current == null && queue.isEmpty() && !closing) {
                 sendErrorAndClose(errorStatus);
             }
-            context.channel().config().setAutoRead(queue.size() < MAX_QUEUED_REQUESTS);
+            context.channel()
+                    .config()
+                    .setAutoRead(queue.size() < MAX_QUEUED_REQUESTS && queuedBytes < MAX_QUEUED_BYTES);
+            updateMemory();
         }
 
         private void serve(final Request request) {
@@ -703,7 +798,7 @@
                 context.executor().execute(this::serveNext);
             } else {
                 closing = true;
-                queue.clear();
+                dropInput();
                 written.addListener(done -> closeGracefully());
             }
             return written;
@@ -715,6 +810,8 @@
             reading = false;
             requestStarted = false;
             timeoutStartUs = NEVER;
+            body.clear();
+            decoder.discardInput();
             serveNext();
         }
 
--- a/src/main/java/railspar/node/EndpointClient.java
+++ b/src/main/java/railspar/node/EndpointClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,7 +18,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -46,6 +46,13 @@
 final class EndpointClient {
     private static final long US_PER_MS = 1000;
     private static final int MAX_BODY_BYTES = 1 << 16;
+    /**
+     * Sizes of receive buffers: smallest, first and largest. A connection keeps its buffer while that ends in a part
+     * of a line, and memory for buffers outside the heap is limited.
+     */
+    private static final AdaptiveRecvByteBufAllocator RECEIVE_BUFFERS =
+            new AdaptiveRecvByteBufAllocator(64, 2 << 10, 4 << 10);
+
     /** Idle connections are closed at this share of the endpoints' idle timeout, so that no request crosses a close. */
     private static final double IDLE_TIMEOUT_SHARE = 0.8;
     /** Share of the file descriptors for connections to endpoints; the rest is for clients and the process. */
@@ -94,6 +101,7 @@
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channelFactory(TrackedSocketChannel::new)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, RECEIVE_BUFFERS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -504,7 +512,8 @@
         private long idleSinceUs;
         private HttpResponse head;
         private boolean keepAlive;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final BodyBuffer body = new BodyBuffer(MAX_BODY_BYTES);
+        private int ignoredBodyBytes;
         /** The part of a status line read so far; null while none is expected or once it has been read. */
         private StringBuilder statusLine;
 
@@ -555,7 +564,8 @@
             call.channel = (TrackedSocketChannel) context.channel();
             head = null;
             statusLine = call.bulk ? null : new StringBuilder();
-            body.reset();
+            body.clear();
+            ignoredBodyBytes = 0;
             final FullHttpRequest request = request(call);
             call.writeCountAtQueueing = call.channel.writeCount();
             call.queued = true;
@@ -620,27 +630,28 @@
                 return;
             }
             if (part instanceof HttpContent content) {
-                if (body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
+                if (!read(content.content())) {
                     connectionBroken();
                     return;
                 }
-                read(content.content());
             }
             if (part instanceof LastHttpContent && head != null && head.status().code() >= FIRST_FINAL_STATUS) {
                 finish();
             }
         }
 
-        private void read(final ByteBuf content) {
-            try {
-                content.readBytes(body, content.readableBytes());
-            } catch (final IOException e) {
-                throw new IllegalStateException("writing to memory failed", e);
+        /** Reads a part of the body; false if the body is too long. Only that of a bulk call has a meaning. */
+        private boolean read(final ByteBuf content) {
+            if (call.bulk) {
+                return body.append(content);
             }
+            ignoredBodyBytes += content.readableBytes();
+            return ignoredBodyBytes <= MAX_BODY_BYTES;
         }
 
         private void finish() {
             final Call finished = call;
+            final byte[] responseBody = body.take();
             call = null;
             if (!remove(finished)) {
                 context.close();
@@ -656,7 +667,7 @@
             applyRetryAfter(finished.pool, retryAfterUs);
             final AttemptOutcome outcome = parseOutcome(finished.pool, head, retryAfterUs);
             if (finished.bulk && head.status().code() == OK) {
-                reportBulkOutcomes(finished, outcome);
+                reportBulkOutcomes(finished, responseBody, outcome);
             } else {
                 reportOutcome(finished, outcome);
             }
@@ -679,8 +690,9 @@
         }
 
         /** Reports each message of a bulk call by its own state; one without a state may have taken effect. */
-        private void reportBulkOutcomes(final Call finished, final AttemptOutcome callOutcome) {
-            final Map<String, String> states = CallCodec.parseStates(body.toByteArray());
+        private void reportBulkOutcomes(
+                final Call finished, final byte[] responseBody, final AttemptOutcome callOutcome) {
+            final Map<String, String> states = CallCodec.parseStates(responseBody);
             for (final MessageService.CallItem item : finished.items) {
                 final AttemptOutcome outcome =
                         CallCodec.outcomeOfMessage(states.getOrDefault(item.message().accepted.id, ""), callOutcome);
--- a/src/test/java/railspar/node/CourierProcessFixture.java
+++ b/src/test/java/railspar/node/CourierProcessFixture.java
@@ -53,6 +53,8 @@
     int sockets = 1024;
     /** The JVM option for the size of the heap. */
     String heap = "-Xmx64m";
+    /** The JVM option for the size of direct buffers. */
+    String directMemory = "-XX:MaxDirectMemorySize=16m";
 
     String discovery = "on_request";
     String fleetSetting = "\"balancers\":1";
@@ -269,6 +271,7 @@
         final List<String> command = new ArrayList<>(List.of(
                 System.getProperty("java.home") + "/bin/java",
                 heap,
+                directMemory,
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-cp",
