--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -69,6 +70,12 @@
      */
     private static final long REQUEST_TIMEOUT_US = 2_200_000;
 
+    /** How long responses may wait until the client reads them; then the connection is closed. */
+    private static final long RESPONSE_TIMEOUT_US = 2_200_000;
+    /** While more bytes of responses than the higher mark are unread, the connection's requests wait. */
+    private static final WriteBufferWaterMark RESPONSE_WATER_MARK = new WriteBufferWaterMark(2 << 10, 4 << 10);
+    /** Memory of the unread responses of a connection whose requests wait: 25 small ones and their buffers. */
+    private static final long UNREAD_RESPONSES_BYTES = 16 << 10;
     /** Sizes of receive buffers: smallest, first and largest. A larger one would bring too many requests at once. */
     private static final AdaptiveRecvByteBufAllocator RECEIVE_BUFFERS =
             new AdaptiveRecvByteBufAllocator(64, 2 << 10, 8 << 10);
@@ -185,6 +192,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new AcceptFailureHandler())
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, RECEIVE_BUFFERS)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, RESPONSE_WATER_MARK)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
@@ -311,7 +319,10 @@
         }
         logMemoryRelief();
         for (final Session session : List.copyOf(sessions)) {
-            if (session.timeoutStartUs <= beforeUs) {
+            if (session.responseWaitStartUs <= clock.nowUs() - RESPONSE_TIMEOUT_US) {
+                service.connectionShed();
+                session.closeNow();
+            } else if (session.timeoutStartUs <= beforeUs) {
                 session.timeOut();
             } else if (isDrained()
                     && Math.max(drainedFromUs, session.lastRequestUs) <= clock.nowUs() - DRAIN_IDLE_TIMEOUT_US) {
@@ -342,8 +353,8 @@
     }
 
     /**
-     * While client connections hold more memory than they may, rejects the request that has been incomplete for
-     * longest.
+     * While client connections hold more memory than they may, ends the one that has waited longest for its peer: for
+     * the rest of a request, or for its responses to be read.
      */
     private void relieveMemory() {
         while (memory.isExceeded()) {
@@ -453,6 +464,9 @@
         /** Start of the request timeout: the start of the connection, then the first bytes of each further request. */
         private long timeoutStartUs = clock.nowUs();
 
+        /** Since when the requests, or the close of the connection, have waited for responses to be read. */
+        private long responseWaitStartUs = NEVER;
+
         /** Some bytes of an incomplete request have arrived. */
         private boolean requestStarted;
         /**
@@ -517,6 +531,7 @@
             closing = true;
             reading = false;
             timeoutStartUs = NEVER;
+            responseWaitStartUs = NEVER;
             dropInput();
             if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
                 socket.config().setAutoRead(true);
@@ -545,11 +560,15 @@
 
         /** Since when this connection has waited for its peer and held memory meanwhile, or {@link #NEVER}. */
         private long waitingForPeerSinceUs() {
-            return requestStarted || reading ? timeoutStartUs : NEVER;
+            return requestStarted || reading ? Math.min(timeoutStartUs, responseWaitStartUs) : responseWaitStartUs;
         }
 
-        /** Rejects the incomplete request. */
+        /** Ends the wait for the peer: rejects an incomplete request, or closes if responses are not read. */
         private void releaseMemory() {
+            if (responseWaitStartUs != NEVER) {
+                closeNow();
+                return;
+            }
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
             decoder.compact();
             updateMemory();
@@ -571,7 +590,8 @@
                     + decoder.heldBytes()
                     + body.capacity()
                     + (requestStarted || reading ? REQUEST_OVERHEAD_BYTES : 0)
-                    + (reading ? headBytes : 0);
+                    + (reading ? headBytes : 0)
+                    + (context.channel().isWritable() ? 0 : UNREAD_RESPONSES_BYTES);
         }
 
         // ------------------------------------------------------------ requests
@@ -595,6 +615,30 @@
             ctx.fireChannelReadComplete();
         }
 
+        @Override
+        public void channelWritabilityChanged(final ChannelHandlerContext ctx) {
+            if (!ctx.channel().isWritable()) {
+                waitForReader();
+            } else if (!closing) {
+                responseWaitStartUs = NEVER;
+                ctx.executor().execute(this::serveNext);
+            }
+            updateAutoRead();
+            updateMemory();
+            ctx.fireChannelWritabilityChanged();
+        }
+
+        private void waitForReader() {
+            responseWaitStartUs = Math.min(responseWaitStartUs, clock.nowUs());
+        }
+
+        private void updateAutoRead() {
+            final boolean canServe = queue.size() < MAX_QUEUED_REQUESTS
+                    && queuedBytes < MAX_QUEUED_BYTES
+                    && context.channel().isWritable();
+            context.channel().config().setAutoRead(closing || canServe);
+        }
+
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             sessions.remove(this);
@@ -652,9 +696,15 @@
             queuedBytes += request.heldBytes();
         }
 
-        /** Serves the requests of the connection one at a time, so that the responses keep their order. */
+        /**
+         * Serves the requests of the connection one at a time, so that the responses keep their order. While responses
+         * are not read, requests wait.
+         */
         private void serveNext() {
-            while (current == null && !queue.isEmpty() && !closing) {
+            while (current == null
+                    && !queue.isEmpty()
+                    && !closing
+                    && context.channel().isWritable()) {
                 current = queue.poll();
                 queuedBytes -= current.heldBytes();
                 lastRequestUs = clock.nowUs();
@@ -663,9 +713,7 @@
             if (errorStatus != null && current == null && queue.isEmpty() && !closing) {
                 sendErrorAndClose(errorStatus);
             }
-            context.channel()
-                    .config()
-                    .setAutoRead(queue.size() < MAX_QUEUED_REQUESTS && queuedBytes < MAX_QUEUED_BYTES);
+            updateAutoRead();
             updateMemory();
         }
 
@@ -799,6 +847,7 @@
             } else {
                 closing = true;
                 dropInput();
+                waitForReader();
                 written.addListener(done -> closeGracefully());
             }
             return written;
@@ -817,6 +866,7 @@
 
         private void sendErrorAndClose(final HttpResponseStatus status) {
             closing = true;
+            waitForReader();
             final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
             context.writeAndFlush(response).addListener(written -> closeGracefully());
--- a/src/test/java/railspar/node/ClientMemoryTest.java
+++ b/src/test/java/railspar/node/ClientMemoryTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -17,9 +19,13 @@
 final class ClientMemoryTest extends AbstractCourierProcessTest {
     private static final int BODY_BYTES = 60_000;
     private static final String HALF_HEAD = "POST /safe HTTP/1.1\r\nHost: backend.local\r\nX-Requ";
+    private static final String HEALTH_CHECK = "GET /up HTTP/1.1\r\nHost: backend.local\r\n\r\n";
     /** Statuses that a peer is owed which does not complete its request. */
     private static final Set<Integer> ERRORS = Set.of(408, 503);
 
+    private static final long UNREAD_REQUEST_BYTES = 60_000_000;
+    private static final int WRITE_BYTES = 1 << 20;
+
     private final List<Socket> peers = new ArrayList<>();
 
     @BeforeEach
@@ -95,4 +101,48 @@
         assertServes("ordinary");
         closePeers();
     }
+
+    /** Guards against responses that pile up because their client does not read. */
+    @Test
+    void clientThatReadsNoResponseIsDisconnectedAndDoesNotUseUpMemory() throws Exception {
+        fixture.heap = "-Xmx24m";
+        fixture.start();
+        writeWithoutReading(CourierProcessFixture.message("m", "safe").replace("dest=7", "dest=99"));
+    }
+
+    /** Guards against the same for requests that are no messages. */
+    @Test
+    void clientThatReadsNoResponseToItsHealthChecksIsDisconnectedAndDoesNotUseUpMemory() throws Exception {
+        fixture.heap = "-Xmx24m";
+        fixture.start();
+        writeWithoutReading(HEALTH_CHECK);
+    }
+
+    private void writeWithoutReading(final String request) throws Exception {
+        final byte[] requests = request.repeat(WRITE_BYTES / request.length()).getBytes(StandardCharsets.ISO_8859_1);
+        try (Socket peer = fixture.connect()) {
+            final CompletableFuture<Long> written =
+                    CompletableFuture.supplyAsync(() -> writeUntilClosed(peer, requests));
+            for (int index = 0; !written.isDone(); index++) {
+                assertServes("m" + index);
+            }
+            assertTrue(
+                    written.get(CourierProcessFixture.TIMEOUT_S, TimeUnit.SECONDS) < UNREAD_REQUEST_BYTES,
+                    "requests are not read while responses are not");
+        }
+        assertServes("afterwards");
+    }
+
+    private static long writeUntilClosed(final Socket peer, final byte[] requests) {
+        long written = 0;
+        try {
+            while (written < UNREAD_REQUEST_BYTES) {
+                peer.getOutputStream().write(requests);
+                written += requests.length;
+            }
+        } catch (final IOException e) {
+            return written;
+        }
+        return written;
+    }
 }
