--- a/src/main/java/railspar/node/Discovery.java
+++ b/src/main/java/railspar/node/Discovery.java
@@ -201,10 +201,13 @@
         }
     }
 
-    /** Keeps a watch open without further requests: the list is pushed, so the courier never requests it. */
-    void watchContinuously() {
-        subscription.enableRetries();
+    /** Opens the first watch. Where the list is pushed, the courier never requests it, and a watch is kept open. */
+    void startWatching() {
+        if (!config.settings().listOnRequest()) {
+            subscription.enableRetries();
+        }
         subscription.ensureWatching();
+        startupGate.startWaiting(loop);
     }
 
     /**
@@ -212,10 +215,15 @@
      * {@link ListStartupGate}.
      */
     void whenListReady(final Runnable task) {
-        startupGate.runWhenReady(task, loop);
+        startupGate.runWhenReady(task);
         subscription.ensureWatching();
     }
 
+    /** Waits for the list no longer than until now; {@code waitedMs}: since the first watch. */
+    void stopWaitingForList(final int waitedMs) {
+        startupGate.stopWaiting(waitedMs);
+    }
+
     // ---------------------------------------------------------------- watch
 
     /** Changes the address of discovery. */
--- a/src/main/java/railspar/node/Main.java
+++ b/src/main/java/railspar/node/Main.java
@@ -31,6 +31,13 @@
     private static final long LOCK_POLL_MS = 3;
     /** A standby process warms up for this time before it reports itself healthy. */
     private static final long STANDBY_WARMUP_MS = 700;
+    /**
+     * How long a standby process waits for the list, as it has to be healthy 6 s after its start. The old process
+     * serves meanwhile.
+     */
+    private static final int STANDBY_LIST_WAIT_MS = 4000;
+    /** How long at most the old process goes on after SIGTERM while its successor is not ready. */
+    private static final long MAX_SUCCESSOR_WAIT_US = 1_500_000;
     /** Longest time for which a process that hands over keeps accepting connections. */
     private static final long MAX_HANDOVER_ACCEPT_US = 1_500_000;
 
@@ -56,11 +63,17 @@
 
     private MessageService messageService;
     private ClientServer clientServer;
-    /** The answer to the operators' HEALTH command; the operators' thread reads it. */
-    private volatile boolean healthy;
+    /** This process serves clients, or will once it owns the state folder. The operators' thread reads it. */
+    private volatile boolean ready;
+    /** An operator has drained the courier. The operators' thread reads it. */
+    private volatile boolean drained;
+    /** SIGTERM has been received. The operators' thread reads it. */
+    private volatile boolean ending;
 
     private boolean serving;
-    private boolean ending;
+    /** This standby process can serve as soon as it owns the state folder. */
+    private boolean readyToTakeOver;
+
     private long lockFailures;
 
     private Main(
@@ -168,9 +181,30 @@
         if (isOwner) {
             messageService.whenListReady(this::serve);
         } else {
-            Log.info(config.name() + " stands by: another process of this courier serves");
-            loop.schedule(() -> healthy = true, STANDBY_WARMUP_MS, TimeUnit.MILLISECONDS);
-            waitForOwnerLock();
+            standBy();
+        }
+    }
+
+    /**
+     * Prepares to take over, and reports itself healthy only then: at that the old process is told to end, and nobody
+     * serves from its handover until this process is ready.
+     */
+    private void standBy() {
+        Log.info(config.name() + " stands by: another process of this courier serves");
+        final long sinceUs = clock.nowUs();
+        messageService.whenListReady(() -> {
+            readyToTakeOver = true;
+            final long elapsedMs = (clock.nowUs() - sinceUs) / US_PER_MS;
+            loop.schedule(() -> ready = true, STANDBY_WARMUP_MS - elapsedMs, TimeUnit.MILLISECONDS);
+        });
+        loop.schedule(this::stopStandbyWaitForList, STANDBY_LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+        waitForOwnerLock();
+    }
+
+    /** If the old process has died meanwhile, this one is the owner and waits for the list like any start. */
+    private void stopStandbyWaitForList() {
+        if (!ownerLock.isHeld()) {
+            messageService.stopWaitingForList(STANDBY_LIST_WAIT_MS);
         }
     }
 
@@ -193,6 +227,9 @@
         boolean acquired = false;
         try {
             acquired = ownerLock.tryAcquire();
+            if (!acquired && readyToTakeOver) {
+                ownerLock.setReady();
+            }
         } catch (final IOException e) {
             // The next poll tries again.
             StartRetry.failed("acquire the owner lock", e, lockFailures++);
@@ -241,7 +278,7 @@
         clientServer.listen(group, inheritedListener).addListener(bound -> {
             if (bound.isSuccess()) {
                 StartRetry.succeeded("listen", failures);
-                healthy = !ending;
+                ready = true;
                 stopWaiting();
                 Log.info(config.name() + " is ready at " + clientServer.address());
                 // Loads the time zone rules. Without free descriptors the JDK's logger could not load them later, which
@@ -266,7 +303,7 @@
     private final class OperatorCommands implements OperatorServer.Commands {
         @Override
         public boolean isHealthy() {
-            return healthy;
+            return ready && !drained && !ending;
         }
 
         @Override
@@ -283,7 +320,7 @@
         public void setDrained(final boolean drained, final Consumer<String> result) {
             loop.execute(() -> {
                 clientServer.setDrained(drained);
-                healthy = !drained && !ending;
+                Main.this.drained = drained;
                 result.accept(null);
             });
         }
@@ -312,17 +349,13 @@
     private void stop() {
         loop.execute(() -> {
             ending = true;
-            healthy = false;
             if (!serving) {
                 stopped.countDown();
                 return;
             }
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
-            if (!ownerLock.hasWaiter() || !handOver()) {
-                clientServer.drain();
-                messageService.stopping(stopUs);
-                loop.schedule(clientServer::stopListening, LISTEN_MS, TimeUnit.MILLISECONDS);
-            }
+            messageService.stopping(stopUs);
+            handOverOrDrain(clock.nowUs() + MAX_SUCCESSOR_WAIT_US);
             loop.schedule(
                     clientServer::rejectIncompleteRequests, STOP_MS - REJECT_BEFORE_END_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(
@@ -344,6 +377,20 @@
         }
     }
 
+    /**
+     * Hands over to a waiting process once that is ready, or after the deadline if it is not; this process serves
+     * meanwhile. Without a waiting process, drains.
+     */
+    private void handOverOrDrain(final long deadlineUs) {
+        final boolean hasWaiter = ownerLock.hasWaiter();
+        if (hasWaiter && !ownerLock.hasReadyWaiter() && clock.nowUs() < deadlineUs) {
+            loop.schedule(() -> handOverOrDrain(deadlineUs), LOCK_POLL_MS, TimeUnit.MILLISECONDS);
+        } else if (!hasWaiter || !handOver()) {
+            clientServer.drain();
+            loop.schedule(clientServer::stopListening, LISTEN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Accepts until the successor does or the deadline passes, so that clients always find a listener. */
     private void stopAccepting(final long deadlineUs) {
         if (ownerLock.hasWaiter() && clock.nowUs() < deadlineUs) {
--- a/src/main/java/railspar/node/MessageService.java
+++ b/src/main/java/railspar/node/MessageService.java
@@ -187,11 +187,7 @@
     /** Starts to watch the list, which a successor that waits for its handover does too. Runs on the event loop. */
     void startListWatch() {
         discovery.restore(config.known());
-        if (config.settings().listOnRequest()) {
-            discovery.ensureWatching();
-        } else {
-            discovery.watchContinuously();
-        }
+        discovery.startWatching();
         loop.scheduleWithFixedDelay(this::updateGauges, 0, GAUGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::pollStateFolder, 0, STATE_POLL_MS, TimeUnit.MILLISECONDS);
     }
@@ -278,6 +274,11 @@
         discovery.whenListReady(task);
     }
 
+    /** Waits for the list no longer than until now; {@code waitedMs}: since the start of its watch. */
+    void stopWaitingForList(final int waitedMs) {
+        discovery.stopWaitingForList(waitedMs);
+    }
+
     /**
      * Resumes the open messages of earlier processes and starts to make decisions. Runs on the event loop.
      *
--- a/src/main/java/railspar/node/OwnerLock.java
+++ b/src/main/java/railspar/node/OwnerLock.java
@@ -10,13 +10,21 @@
 /**
  * Decides which process owns the state folder while a new process replaces one that still runs: a lock on a file in
  * that folder, which outlasts both processes. The kernel frees a lock when its process releases it or dies, so a
- * leftover file blocks nothing. A second lock shows that a process waits, until it owns the folder and serves clients.
+ * leftover file blocks nothing. Two more locks, on bytes of a second file, show that a process waits, until it owns the
+ * folder and serves clients, and that it is ready to take over. A process of an earlier program that waits locks the whole
+ * second file, so that it counts as ready from the start.
  */
 final class OwnerLock {
+    private static final long WAITER_POSITION = 0;
+    private static final long READY_POSITION = 1;
+    private static final long LOCK_BYTES = 1;
+    private static final boolean SHARED = false;
+
     private final FileChannel ownerFile;
     private final FileChannel waiterFile;
     private FileLock ownerLock;
     private FileLock waiterLock;
+    private FileLock readyLock;
 
     private OwnerLock(final FileChannel ownerFile, final FileChannel waiterFile) {
         this.ownerFile = ownerFile;
@@ -42,7 +50,7 @@
     boolean tryAcquire() throws IOException {
         ownerLock = ownerFile.tryLock();
         if (ownerLock == null) {
-            waiterLock = waiterLock == null ? waiterFile.tryLock() : waiterLock;
+            waiterLock = waiterLock == null ? tryLockWaiterFile(WAITER_POSITION) : waiterLock;
         }
         return ownerLock != null;
     }
@@ -52,8 +60,21 @@
         return ownerLock != null && ownerLock.isValid();
     }
 
+    private FileLock tryLockWaiterFile(final long position) throws IOException {
+        return waiterFile.tryLock(position, LOCK_BYTES, SHARED);
+    }
+
+    /** This process, which waits, can serve as soon as it owns the folder. May be called again. */
+    void setReady() throws IOException {
+        readyLock = readyLock == null ? tryLockWaiterFile(READY_POSITION) : readyLock;
+    }
+
     /** This process serves clients now and no longer counts as waiting. */
     void stopWaiting() throws IOException {
+        if (readyLock != null) {
+            readyLock.release();
+            readyLock = null;
+        }
         if (waiterLock != null) {
             waiterLock.release();
             waiterLock = null;
@@ -62,7 +83,16 @@
 
     /** True while another process waits for the lock, or holds it and does not serve clients yet. */
     boolean hasWaiter() {
-        try (FileLock probe = waiterFile.tryLock()) {
+        return isLockedElsewhere(WAITER_POSITION);
+    }
+
+    /** True while another process waits and is ready to take over. */
+    boolean hasReadyWaiter() {
+        return isLockedElsewhere(READY_POSITION);
+    }
+
+    private boolean isLockedElsewhere(final long position) {
+        try (FileLock probe = tryLockWaiterFile(position)) {
             return probe == null;
         } catch (final IOException e) {
             Log.info("cannot check whether another process waits, assuming that none does: " + e.getMessage());
--- a/src/test/java/railspar/node/CourierProcessFixture.java
+++ b/src/test/java/railspar/node/CourierProcessFixture.java
@@ -175,7 +175,17 @@
 
     /** Sends an operator's command; returns everything that is answered until the connection ends. */
     String operatorCommand(final String line) throws IOException {
-        try (Socket socket = connectToOperatorServer()) {
+        return operatorCommand(mgmtPort, line);
+    }
+
+    /** The port of the newest process for operators. */
+    int operatorPort() {
+        return mgmtPort;
+    }
+
+    /** Sends an operator's command to that port. */
+    String operatorCommand(final int operatorPort, final String line) throws IOException {
+        try (Socket socket = connectToOperatorServer(operatorPort)) {
             socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
@@ -183,7 +193,11 @@
 
     /** Opens a connection to the operators' address. */
     Socket connectToOperatorServer() throws IOException {
-        final Socket socket = new Socket("127.0.0.1", mgmtPort);
+        return connectToOperatorServer(mgmtPort);
+    }
+
+    private static Socket connectToOperatorServer(final int operatorPort) throws IOException {
+        final Socket socket = new Socket("127.0.0.1", operatorPort);
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
         return socket;
     }
--- a/src/test/java/railspar/node/HandoverTest.java
+++ b/src/test/java/railspar/node/HandoverTest.java
@@ -1,6 +1,7 @@
 package railspar.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -24,6 +25,8 @@
 final class HandoverTest extends AbstractCourierProcessTest {
     private static final long STOP_LIMIT_MS = 3700;
 
+    private int oldOperatorPort;
+
     private static void neverAnswer(final FakeServer server, final String id) {
         server.script((request, connection) -> {
             if (!request.ids().contains(id)) {
@@ -141,6 +144,81 @@
         assertEquals(List.of("m1", "m2", "m3"), fixture.first.ids(), "in the order of acceptance, by either process");
     }
 
+    private static String briefMessage(final String id) {
+        return CourierProcessFixture.message(id, "safe").replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: 2000");
+    }
+
+    /** A new process whose agent says nothing: discovery is down. */
+    private Process startSuccessorWithSilentDiscovery() throws IOException {
+        fixture.hasOperatorAddress = true;
+        fixture.discovery = "pushed";
+        fixture.start();
+        oldOperatorPort = fixture.operatorPort();
+        fixture.firstWatchLine = "";
+        return fixture.startSuccessor();
+    }
+
+    private boolean isHealthy(final int operatorPort) {
+        try {
+            return fixture.operatorCommand(operatorPort, "HEALTH").startsWith("+OK");
+        } catch (final IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** A connection that the process has accepted. */
+    private Socket connectedToTheOldProcess() throws IOException {
+        final Socket socket = fixture.connect();
+        assertEquals(
+                200,
+                CourierProcessFixture.send(socket, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+                        .status());
+        return socket;
+    }
+
+    private void assertDelivered(final String id) {
+        fixture.await(
+                "the end of " + id,
+                () -> fixture.first.ids().contains(id)
+                        || fixture.notices.stream().anyMatch(line -> line.contains(id)));
+        assertEquals(List.of(), fixture.notices);
+    }
+
+    /** Guards against a successor that is healthy, and so gets its predecessor ended, before it can serve. */
+    @Test
+    void messagesAreDeliveredInTimeWhenTheProcessIsReplacedWhileDiscoveryIsDown() throws IOException {
+        final Process old = startSuccessorWithSilentDiscovery();
+        fixture.await("the successor to be healthy", () -> isHealthy(fixture.operatorPort()));
+        final Socket kept = connectedToTheOldProcess();
+        old.destroy();
+        assertEquals(202, CourierProcessFixture.send(kept, briefMessage("m1")).status());
+        assertDelivered("m1");
+    }
+
+    /** Guards against a predecessor that stops deciding although its successor is not ready. */
+    @Test
+    void theOldProcessServesUntilASuccessorThatWaitsForDiscoveryIsReady() throws IOException {
+        final Process old = startSuccessorWithSilentDiscovery();
+        final Socket kept = connectedToTheOldProcess();
+        old.destroy();
+        fixture.await("the signal to be handled", () -> !isHealthy(oldOperatorPort));
+        assertEquals(202, CourierProcessFixture.send(kept, briefMessage("m1")).status());
+        assertDelivered("m1");
+    }
+
+    /** Guards against a drain that is forgotten when the process that stood by begins to serve. */
+    @Test
+    void aStandbyProcessThatWasDrainedIsNotHealthyAfterItsTakeover() throws IOException {
+        fixture.hasOperatorAddress = true;
+        fixture.start();
+        final Process old = fixture.startSuccessor();
+        assertEquals("+OK\n", fixture.operatorCommand("LEAVE"));
+        fixture.endOldProcess(old, false);
+        assertFalse(isHealthy(fixture.operatorPort()));
+        assertEquals("+OK\n", fixture.operatorCommand("JOIN"));
+        assertTrue(isHealthy(fixture.operatorPort()));
+    }
+
     @Test
     void idleConnectionIsClosedAndTheOldProcessEndsBeforeSigkill() throws IOException, InterruptedException {
         fixture.start();
