Never read input that belongs to no request as a response

What callers saw: where a good response is followed by a part of a second one, the next refusal is read as a 200 and its message ends nowhere, or an unsafe message ends as failed although its endpoint took it; a notice answered with 500 counts as heard.

Cause: the decoder of a connection did not know whether a request was open. It kept undecoded input when the connection became idle, and NoticeSender wrote its next request before the rest of the input was looked at.

Change: ResponseDecoder, for endpoints, notices and watches alike, counts open requests, skips input that belongs to none and closes the connection. A connection is used again only if nothing is left behind its response and nothing waits in its socket. 100 Continue does not end a notice's request.

--- a/src/main/java/railspar/node/AgentConnector.java
+++ b/src/main/java/railspar/node/AgentConnector.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 
 /** Opens connections to the platform's agent on the event loop and reports their result there. */
@@ -30,7 +29,7 @@
             final ChannelHandler... handlers) {
         final ChannelFuture connecting = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(TrackedSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/railspar/node/EndpointClient.java
+++ b/src/main/java/railspar/node/EndpointClient.java
@@ -12,9 +12,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -106,8 +106,14 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        final EndpointConnection connection = new EndpointConnection();
-                        channel.pipeline().addLast(new StatusLineReader(connection), new HttpClientCodec(), connection);
+                        final ResponseDecoder decoder = new ResponseDecoder();
+                        final EndpointConnection connection = new EndpointConnection(decoder);
+                        channel.pipeline()
+                                .addLast(
+                                        new StatusLineReader(connection),
+                                        new HttpRequestEncoder(),
+                                        decoder,
+                                        connection);
                     }
                 });
         final long sweepIntervalUs = Math.max(US_PER_MS, maxIdleUs / 8);
@@ -357,7 +363,7 @@
     private static EndpointConnection idle(final Pool pool) {
         while (!pool.idle.isEmpty()) {
             final EndpointConnection connection = pool.idle.pollLast();
-            if (connection.context.channel().isActive()) {
+            if (connection.decoder.isReadyForRequest()) {
                 return connection;
             }
         }
@@ -504,6 +510,7 @@
 
     /** Writes the requests and reads the responses of one connection. */
     private final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
+        private final ResponseDecoder decoder;
         private ChannelHandlerContext context;
         private Call call;
         /** The pool of an abandoned call whose response may still arrive. */
@@ -517,6 +524,10 @@
         /** The part of a status line read so far; null while none is expected or once it has been read. */
         private StringBuilder statusLine;
 
+        EndpointConnection(final ResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         /** Handles the next byte of the status line. */
         private void readStatusLineByte(final char next) {
             if (next != '\n' && statusLine.length() < MAX_STATUS_LINE_CHARS) {
@@ -569,6 +580,7 @@
             final FullHttpRequest request = request(call);
             call.writeCountAtQueueing = call.channel.writeCount();
             call.queued = true;
+            decoder.onRequest();
             context.writeAndFlush(request).addListener(done -> {
                 if (done.isSuccess()) {
                     next.written = true;
@@ -657,7 +669,7 @@
                 context.close();
                 return;
             }
-            if (keepAlive && finished.written && !finished.pool.removed && !draining) {
+            if (keepAlive && finished.written && !finished.pool.removed && !draining && !decoder.hasSurplus()) {
                 idleSinceUs = clock.nowUs();
                 finished.pool.idle.addLast(this);
             } else {
--- a/src/main/java/railspar/node/ListSubscription.java
+++ b/src/main/java/railspar/node/ListSubscription.java
@@ -1,7 +1,7 @@
 package railspar.node;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -121,7 +121,14 @@
         final Watch watch = new Watch(this, address.getHostString(), stagingBytes);
         attempts.add(new Attempt(watch, System.nanoTime()));
         scheduleAttempt();
-        connector.connect(address, WATCH_TIMEOUT_MS, () -> {}, watch::onConnectFailed, new HttpClientCodec(), watch);
+        connector.connect(
+                address,
+                WATCH_TIMEOUT_MS,
+                () -> {},
+                watch::onConnectFailed,
+                new HttpRequestEncoder(),
+                watch.decoder(),
+                watch);
     }
 
     private void scheduleAttempt() {
--- a/src/main/java/railspar/node/NoticeSender.java
+++ b/src/main/java/railspar/node/NoticeSender.java
@@ -9,10 +9,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -151,12 +152,17 @@
                 REQUEST_TIMEOUT_MS,
                 connection::onConnected,
                 connection::onEnded,
-                new HttpClientCodec(),
+                new HttpRequestEncoder(),
+                connection.decoder,
                 new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                 connection);
     }
 
-    /** Sends the due notices on the slow connection with the fewest open requests; false if there is none. */
+    /**
+     * Sends the due notices on the slow connection with the fewest open requests; false if there is none. Responses
+     * come in the order of the requests, and a surplus only where no request is open, so that none is taken for the
+     * response to another request.
+     */
     private boolean pipeline() {
         due.removeIf(message -> !unconfirmed.contains(message));
         final Optional<Connection> shared =
@@ -225,6 +231,7 @@
     /** A connection to the platform. It carries one request at a time, unless no further connection can be opened. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress target;
+        private final ResponseDecoder decoder = new ResponseDecoder();
         private final Deque<Request> requests = new ArrayDeque<>();
         private ChannelHandlerContext context;
         /** Releases due notices to another connection when it fires. */
@@ -250,7 +257,7 @@
         }
 
         private boolean isUsable() {
-            return isIdle() && isOpen();
+            return isIdle() && isOpen() && decoder.isReadyForRequest();
         }
 
         /** Number of requests without a response. */
@@ -333,11 +340,15 @@
                     .set(HttpHeaderNames.HOST, target.getHostString())
                     .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson")
                     .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            decoder.onRequest();
             context.writeAndFlush(request);
         }
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final FullHttpResponse response) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             final Request request = requests.poll();
             if (request == null) {
                 ctx.close();
@@ -357,7 +368,7 @@
             slowTimer.cancel(false);
             slow.remove(this);
             final boolean wasCurrent = current == this;
-            final boolean reusable = HttpUtil.isKeepAlive(response) && target.equals(address);
+            final boolean reusable = HttpUtil.isKeepAlive(response) && target.equals(address) && !decoder.hasSurplus();
             if (reusable && (wasCurrent || current == null)) {
                 current = this;
             } else if (reusable && idle.size() < MAX_IDLE_CONNECTIONS) {
--- a/src/main/java/railspar/node/OwnerLock.java
+++ b/src/main/java/railspar/node/OwnerLock.java
@@ -11,8 +11,8 @@
  * Decides which process owns the state folder while a new process replaces one that still runs: a lock on a file in
  * that folder, which outlasts both processes. The kernel frees a lock when its process releases it or dies, so a
  * leftover file blocks nothing. Two more locks, on bytes of a second file, show that a process waits, until it owns the
- * folder and serves clients, and that it is ready to take over. A process of an earlier program that waits locks the whole
- * second file, so that it counts as ready from the start.
+ * folder and serves clients, and that it is ready to take over. A process of an earlier program that waits locks the
+ * whole second file, so that it counts as ready from the start.
  */
 final class OwnerLock {
     private static final long WAITER_POSITION = 0;
--- a/src/main/java/railspar/node/TrackedSocketChannel.java
+++ b/src/main/java/railspar/node/TrackedSocketChannel.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import railspar.DeliveryRules.Transmission;
 
@@ -41,6 +42,18 @@
         return writeCount > writeCountBefore ? Transmission.IN_DOUBT : Transmission.NOT_SENT;
     }
 
+    /**
+     * Whether input, or the end of the input, waits in the socket. It may lose a byte of that, so it is for connections
+     * on which no input is expected.
+     */
+    boolean takeUnreadInput() {
+        try {
+            return javaChannel().read(ByteBuffer.allocate(1)) != 0;
+        } catch (final IOException e) {
+            return true;
+        }
+    }
+
     @Override
     protected void doWrite(final ChannelOutboundBuffer queued) throws Exception {
         writeCount++;
--- a/src/main/java/railspar/node/Watch.java
+++ b/src/main/java/railspar/node/Watch.java
@@ -79,6 +79,7 @@
     private final String host;
     private final ListParser parser;
     private final byte[] chunk = new byte[CHUNK_BYTES];
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private ChannelHandlerContext context;
     /** Reports the silence to the owner unless it is restarted in time. */
     private ScheduledFuture<?> silenceTimer;
@@ -101,6 +102,11 @@
         this.parser = new ListParser(stagingBytes, new ParserListener());
     }
 
+    /** The decoder of the connection that the watch is added to. */
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
     /** True while a list is being received. */
     boolean isReceiving() {
         return parser.isWithinObject() && !invalid;
@@ -149,6 +155,7 @@
         final var request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.GET, "/discovery/hosts?watch=1&after=" + requestedVersion);
         request.headers().set(HttpHeaderNames.HOST, host);
+        decoder.onRequest();
         ctx.writeAndFlush(request);
     }
 
