--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,8 @@
-"""A planned restart while clients send several requests at once: every request that was read gets an answer."""
+"""A process is replaced under load: the folder that lasts may not hold more than its limit."""
 
+import socket
+import subprocess
+import threading
 import os
 import sys
 import time
@@ -9,36 +12,96 @@
 import bench2
 from bench2 import TROUBLE, CannotRun
 
-CLIENTS = 5
-REQUESTS = 3
+ENDPOINTS = 3200
+STAND_INS = 4
+CLASSES = 8
+DISK_MB = 3
+MESSAGES = 2050
+
+
+def used(folder):
+    """Bytes in the folder, every file counted in whole 512 bytes."""
+    total = 0
+    parts = []
+    for base, _, names in os.walk(folder):
+        for name in names:
+            try:
+                size = os.path.getsize(os.path.join(base, name))
+            except OSError:
+                continue
+            total += (size + 511) // 512 * 512
+            parts.append("%s %d" % (name, size))
+    return total, ", ".join(sorted(parts))
 
 
 def body(case):
-    endpoint = bench2.Endpoint(case.record, "s-00000001", 7)
-    agent = bench2.Agent(case.record, [endpoint.entry()])
-    courier = bench2.Courier(case, agent, bench2.settings())
-    courier.start()
+    here = os.path.dirname(os.path.abspath(__file__))
+    ports = []
+    for _ in range(STAND_INS):
+        command = [sys.executable, "-B", os.path.join(here, "..", "lib-2", "many.py"), str(ENDPOINTS // STAND_INS)]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        case.processes.append(process)
+        ports += process.stdout.readline().split()
+        threading.Thread(target=lambda out: [case.record("runs " + line.strip()) for line in out],
+                         args=(process.stdout,), daemon=True).start()
+    if len(ports) < ENDPOINTS:
+        raise CannotRun("the endpoints could not listen")
+    hosts = [{"host": "s-%08x" % (n * 2654435761 % (1 << 32)), "dial": "127.0.0.1:" + ports[n], "site": "a",
+              "class": "std", "block": n // 2, "health": "Ready", "share": 100.0, "born_ms": 0}
+             for n in range(ENDPOINTS)]
+    agent = bench2.Agent(case.record, hosts)
+    classes = [dict(bench2.SAFE, name="class-%d" % n) for n in range(CLASSES)]
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind(("127.0.0.1", 0))
+    listening.listen(256)
+    courier = bench2.Courier(case, agent, bench2.settings(classes=classes), disk_mb=DISK_MB)
+    courier.port = listening.getsockname()[1]
+    courier.content["listen"] = "127.0.0.1:%d" % courier.port
+    courier.write_config()
+    old = courier.start(listening=listening)
+    most = (0, "")
+    client = bench2.Client(courier)
+    taken = 0
+    for number in range(MESSAGES):
+        message_id = bench2.new_id()
+        client.send(bench2.request(message_id, "class-%d" % (number % CLASSES), dest=number % (ENDPOINTS // 2),
+                                   body=b"x" * 400))
+        status = client.answer(2)
+        case.record("client hands in %s: %s" % (message_id, status))
+        taken += status == 202
+        if number % 50 == 0:
+            most = max(most, used(courier.state))
+        if not status or client.ends:
+            client = bench2.Client(courier)
+        time.sleep(0.004)
+    if taken < MESSAGES * 9 // 10:
+        raise CannotRun("only %d messages were taken on" % taken)
+    time.sleep(1)
+    most = max(most, used(courier.state))
+    case.record("before: %d bytes: %s" % most)
     if TROUBLE:
-        courier.terminate()
-        time.sleep(0.1)
-    for _ in range(CLIENTS):
-        client = bench2.Client(courier)
-        ids = [bench2.new_id() for _ in range(REQUESTS)]
-        # The first goes to a partner of whose endpoints discovery has not told yet.
-        data = b"".join(bench2.request(message_id, dest=9 if message_id == ids[0] else 7) for message_id in ids)
-        client.send(data)
-        case.record("client sends %s at once, %d bytes" % (ids, len(data)))
-        answers = []
-        while len(answers) < REQUESTS:
-            answers.append(client.answer(1.0))
-            case.record("answer to %s: %s" % (ids[len(answers) - 1], answers[-1]))
-            if answers[-1] is None:
-                break
-        client.close()
-        if answers[0] != 503:
-            raise CannotRun("the first request was answered %s" % answers[0])
-        if None in answers:
-            case.breaks("the connection ended with no answer to %s" % ids[len(answers) - 1:])
+        mgmt = bench2.free_port()
+        courier.start(mgmt=mgmt, wait=False, listening=listening)
+        end = time.monotonic() + 20
+        while not courier.healthy(mgmt):
+            if time.monotonic() > end:
+                raise CannotRun("the new process never said yes")
+            time.sleep(0.1)
+        old.terminate()
+        case.record("SIGTERM to the old process %d" % old.pid)
+        end = time.monotonic() + 3.7
+        while old.poll() is None and time.monotonic() < end:
+            most = max(most, used(courier.state))
+            time.sleep(0.005)
+        old.kill()
+    else:
+        time.sleep(5)
+    most = max(most, used(courier.state))
+    case.record("most: %d bytes: %s" % most)
+    # A megabyte is taken for the larger of its two meanings.
+    if most[0] > DISK_MB << 20:
+        case.breaks("the folder held %d bytes, and disk_mb is %d: %s" % (most[0], DISK_MB, most[1]))
 
 
 bench2.play(os.path.dirname(os.path.abspath(__file__)), body)
