Apply the configuration of the last SIGHUP when several overtake each other

Cause: each signal was read and passed on by a thread of its own, so an older reading could be applied last. Evidence: the log names the second address before the first. Ruled out: a lost signal (both addresses are logged).

Change: ConfigReloader reads on one thread at a time and once more for requests that came meanwhile.

--- a/src/main/java/railspar/node/Main.java
+++ b/src/main/java/railspar/node/Main.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /** Starts the courier process, and shuts it down in order when the platform sends SIGTERM. */
@@ -44,11 +43,6 @@
     /** Interval of the checks for a garbage collection: only few messages are accepted between two of them. */
     private static final long GC_CHECK_MS = 100;
 
-    /** Reads are retried for 3.5 s, because a new configuration counts as received 4 s after its signal. */
-    private static final int MAX_RELOAD_TRIES = 35;
-
-    private static final long RELOAD_RETRY_MS = 100;
-
     private static final long US_PER_MS = 1000;
 
     private final EventLoopGroup group =
@@ -101,7 +95,9 @@
         final Config config = Config.read(environment);
         final ServerSocketChannel inheritedListener = inheritedListener(environment);
         final CompletableFuture<Main> started = new CompletableFuture<>();
-        ReloadSignal.handle(() -> started.thenAccept(main -> main.reload(environment)));
+        final ConfigReloader reloader = new ConfigReloader(
+                () -> Config.reread(environment), reread -> started.thenAccept(main -> main.reload(reread)));
+        ReloadSignal.handle(() -> started.thenRun(reloader::reload));
         final OwnerLock ownerLock =
                 StartRetry.blocking("open the lock files", () -> OwnerLock.inFolder(config.state()));
         final Clock clock = StartRetry.blocking("read the clock file", () -> clock(config));
@@ -326,23 +322,8 @@
         }
     }
 
-    /**
-     * Reloads the configuration on SIGHUP, on a thread of its own. A file that cannot be read changes nothing and never
-     * ends the courier. It is read again for a while, because it may be being written or its folder may be failing.
-     */
-    private void reload(final Map<String, String> environment) {
-        for (int tries = 0; tries < MAX_RELOAD_TRIES; tries++) {
-            try {
-                final Config reread = Config.reread(environment);
-                loop.execute(() -> messageService.reload(reread));
-                return;
-            } catch (final Config.BadConfigException e) {
-                if (tries == 0) {
-                    Log.info("reload: kept what was known before: " + e.getMessage());
-                }
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RELOAD_RETRY_MS));
-            }
-        }
+    private void reload(final Config reread) {
+        loop.execute(() -> messageService.reload(reread));
     }
 
     /** On SIGTERM: hands over to a waiting process, or drains for a while and leaves the rest to the next process. */
