--- a/src/main/java/railspar/Control.java
+++ b/src/main/java/railspar/Control.java
@@ -298,42 +298,24 @@
         }
     }
 
+    @Override
+    public List<Long> snapshotOrder(final long now) {
+        nowUs = now;
+        return destinations.snapshotOrder();
+    }
+
     @Override
     public EndpointSnapshot snapshot(final long now, final long endpointId) {
-        final Map<String, Double> values = new TreeMap<>();
-        final Map<String, Long> times = new TreeMap<>();
         final EndpointState endpoint = destinations.existingEndpoint(endpointId);
-        if (endpoint != null) {
-            final Route route = endpoint.route;
-            route.writeTo(values, times);
-            for (int index = 0; index < classMeanUs.length; index++) {
-                values.put("mean." + index, classMeanUs[index]);
-                values.put("samples." + index, (double) classSamples[index]);
-                values.put("bad." + index, (double) endpoint.failures[index]);
-                times.put("avoid." + index, endpoint.avoidUntilUs[index]);
-            }
-            times.values().removeIf(us -> us == 0);
-        }
-        return new EndpointSnapshot(values, times);
+        return SnapshotMapper.write(endpoint, classMeanUs, classSamples);
     }
 
     @Override
     public void onEndpointSnapshot(final long now, final long endpointId, final EndpointSnapshot snapshot) {
         nowUs = now;
         final EndpointState endpoint = snapshot.values().isEmpty() ? null : destinations.endpoint(endpointId);
-        if (endpoint == null) {
-            return;
-        }
-        final Map<String, Long> times = snapshot.timesUs();
-        final Route route = endpoint.route;
-        route.readFrom(snapshot.values(), times);
-        for (int index = 0; index < classMeanUs.length; index++) {
-            classMeanUs[index] = snapshot.values().getOrDefault("mean." + index, classMeanUs[index]);
-            classSamples[index] =
-                    snapshot.values().getOrDefault("samples." + index, 0.0).intValue();
-            endpoint.failures[index] =
-                    snapshot.values().getOrDefault("bad." + index, 0.0).intValue();
-            endpoint.avoidUntilUs[index] = times.getOrDefault("avoid." + index, 0L);
+        if (endpoint != null) {
+            SnapshotMapper.read(snapshot, endpoint, classMeanUs, classSamples);
         }
     }
 
@@ -1235,9 +1217,9 @@
         private long enabledUs;
         int inFlight, connections;
         /** Failures in a row of each message class, and until when that class avoids this endpoint. */
-        private final int[] failures;
+        final int[] failures;
 
-        private final long[] avoidUntilUs;
+        final long[] avoidUntilUs;
         /** Until when it is assumed to have no room for idle connections. */
         private long fullUntilUs;
 
--- a/src/main/java/railspar/Courier.java
+++ b/src/main/java/railspar/Courier.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * The interface of a courier's decisions: the events they receive and the actions they may request. A host (a courier
@@ -220,7 +221,19 @@
     record InheritedCall(long endpoint, long sentUs) {}
 
     /** The state of an endpoint and its destination, by name, for the handover; times are those of the clock. */
-    record EndpointSnapshot(Map<String, Double> values, Map<String, Long> timesUs) {}
+    record EndpointSnapshot(Map<String, Double> values, Map<String, Long> timesUs) {
+        /** Prefixes of the values of a message class, which are the same in the snapshot of each endpoint. */
+        static final String CLASS_MEAN = "mean.";
+
+        static final String CLASS_SAMPLES = "samples.";
+
+        /** This snapshot without the values of the message classes, which another one holds too. */
+        public EndpointSnapshot withoutClassValues() {
+            final Map<String, Double> remaining = new TreeMap<>(values);
+            remaining.keySet().removeIf(name -> name.startsWith(CLASS_MEAN) || name.startsWith(CLASS_SAMPLES));
+            return new EndpointSnapshot(remaining, timesUs);
+        }
+    }
 
     /** A rate limit that a destination reported: the share that is left, and the calls per second (0: no limit). */
     record ReportedLimit(double remainingShare, double callsPerSecond) {}
@@ -299,6 +312,12 @@
     /** Takes over a message that an earlier process of this courier accepted; called in the order accepted. */
     void onMessageResumed(long nowUs, Message message, AttemptHistory history);
 
+    /**
+     * The endpoints whose snapshots together hold all that was learned of destinations, the most important ones first:
+     * where something is wrong, then those used last. For most destinations that is one of their endpoints.
+     */
+    List<Long> snapshotOrder(long nowUs);
+
     /** The state of a listed endpoint, for the successor process; changes nothing. */
     EndpointSnapshot snapshot(long nowUs, long endpointId);
 
--- a/src/main/java/railspar/DestinationTable.java
+++ b/src/main/java/railspar/DestinationTable.java
@@ -1,6 +1,10 @@
 package railspar;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -157,6 +161,36 @@
         }
     }
 
+    /**
+     * The endpoints whose snapshots together hold the whole state: for each route one endpoint, and those with failures
+     * of their own. Routes whose state may not be dropped come first, then those used last.
+     */
+    List<Long> snapshotOrder() {
+        final List<Route> routes = new ArrayList<>();
+        destinations.values().forEach(destination -> routes.addAll(destination.routes));
+        final Map<Route, Boolean> droppable = new IdentityHashMap<>();
+        routes.forEach(route -> droppable.put(route, mayForget.test(route)));
+        routes.sort(Comparator.<Route, Boolean>comparing(droppable::get)
+                .thenComparing(route -> route.lastSendUs, Comparator.reverseOrder()));
+        final List<Long> order = new ArrayList<>();
+        for (final Route route : routes) {
+            boolean routeIncluded = false;
+            for (final EndpointState endpoint : route.endpoints) {
+                final boolean isListed = endpoint.condition != Courier.Condition.GONE;
+                if (isListed && (!routeIncluded || hasFailures(endpoint))) {
+                    order.add(endpoint.entry.id());
+                    routeIncluded = true;
+                }
+            }
+        }
+        return order;
+    }
+
+    private static boolean hasFailures(final EndpointState endpoint) {
+        return Arrays.stream(endpoint.failures).anyMatch(count -> count > 0)
+                || Arrays.stream(endpoint.avoidUntilUs).anyMatch(untilUs -> untilUs > 0);
+    }
+
     // ---------------------------------------------------------------- the list
 
     /** Applies a change of the list to the destinations that have state. */
--- a/src/main/java/railspar/RouteState.java
+++ b/src/main/java/railspar/RouteState.java
@@ -49,19 +49,19 @@
     void writeTo(final Map<String, Double> figures, final Map<String, Long> timesUs) {
         figures.put("window", window);
         figures.put("rate", servedRate);
-        figures.put("steps", (double) steps);
+        putUnlessZero(figures, "steps", (double) steps);
         figures.put("slowRatio", meanLatencyRatio);
         figures.put("pace", slowdown);
-        figures.put("paceSamples", (double) latencySamples);
+        putUnlessZero(figures, "paceSamples", (double) latencySamples);
         figures.put("stretch", timeoutFactor);
         figures.put("told", rateLimit);
         figures.put("spacing", sendsPerSecond);
-        figures.put("reported", exactRate ? 1.0 : 0);
-        figures.put("phase", (double) phase.ordinal());
-        figures.put("slow", degraded ? 1.0 : 0);
+        putUnlessZero(figures, "reported", exactRate ? 1.0 : 0);
+        putUnlessZero(figures, "phase", (double) phase.ordinal());
+        putUnlessZero(figures, "slow", degraded ? 1.0 : 0);
         figures.put("badRun", failureRun);
         figures.put("failShare", failureShare);
-        figures.put("rampSpan", warmupIntervalUs);
+        putUnlessZero(figures, "rampSpan", warmupIntervalUs);
         timesUs.put("wait", retryAfterUntilUs);
         timesUs.put("pause", backoffUntilUs);
         timesUs.put("sent", lastSendUs);
@@ -72,6 +72,12 @@
         }
     }
 
+    private static void putUnlessZero(final Map<String, Double> figures, final String name, final double figure) {
+        if (figure != 0) {
+            figures.put(name, figure);
+        }
+    }
+
     /**
      * Reads what {@link #writeTo} wrote. Without their value, averages, limits and failure figures keep what they
      * have; counts, flags and the phase are reset, and times count as not set.
--- a/src/main/java/railspar/node/HandoverWriter.java
+++ b/src/main/java/railspar/node/HandoverWriter.java
@@ -5,6 +5,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Map;
@@ -22,8 +26,13 @@
     static final byte CALL_IN_FLIGHT = 12;
     static final byte OUTCOME = 13;
     static final byte WITHDRAWN = 14;
-    /** Share of the disk budget for this file; the journal and its replacement need space beside it. */
+    /**
+     * Share of the disk budget for the handover files of all predecessor processes; the journal and its replacement
+     * need space beside them.
+     */
     private static final double FILE_SHARE = 0.15;
+    /** Share of a file for the snapshots; the rest is for calls, outcomes and messages. */
+    private static final double SNAPSHOT_SHARE = 2.0 / 3;
 
     private final Clock clock;
     private final RecordFile file;
@@ -45,7 +54,29 @@
                 + ProcessHandle.current().pid());
         final FileChannel file = FileChannel.open(
                 path, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        return new HandoverWriter(clock, new RecordFile(file, 0), file.lock(), (long) (FILE_SHARE * diskBytes));
+        return new HandoverWriter(
+                clock, new RecordFile(file, 0), file.lock(), (long) (FILE_SHARE * diskBytes) - bytesOfAll(folder));
+    }
+
+    /** The size of the handover files in the folder, which processes before this one have written. */
+    private static long bytesOfAll(final Path folder) throws IOException {
+        long bytes = 0;
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, FILE_PREFIX + "*")) {
+            for (final Path path : files) {
+                bytes += sizeIfExists(path);
+            }
+        } catch (final DirectoryIteratorException e) {
+            throw e.getCause();
+        }
+        return bytes;
+    }
+
+    private static long sizeIfExists(final Path path) throws IOException {
+        try {
+            return Files.size(path);
+        } catch (final NoSuchFileException e) {
+            return 0;
+        }
     }
 
     /** False once the lock is lost that shows the successor that this process is alive. */
@@ -55,10 +86,19 @@
 
     /**
      * Writes the snapshot of an endpoint and its destination. Times are written as persistent time, which the successor
-     * shares.
+     * shares. Returns false and writes nothing if the file has no room for it.
      */
-    void writeSnapshot(final String host, final Courier.EndpointSnapshot snapshot) throws IOException {
-        append(ENDPOINT_SNAPSHOT, host, out -> {
+    boolean writeSnapshot(final String host, final Courier.EndpointSnapshot snapshot) throws IOException {
+        final ByteBuffer record = snapshotRecord(host, snapshot);
+        if (file.size() + record.capacity() > SNAPSHOT_SHARE * maxBytes) {
+            return false;
+        }
+        append(record);
+        return true;
+    }
+
+    private ByteBuffer snapshotRecord(final String host, final Courier.EndpointSnapshot snapshot) {
+        return Records.encode(ENDPOINT_SNAPSHOT, host, out -> {
             out.writeInt(snapshot.values().size());
             for (final Map.Entry<String, Double> value : snapshot.values().entrySet()) {
                 out.writeUTF(value.getKey());
@@ -120,8 +160,11 @@
     }
 
     private void append(final byte type, final String id, final Records.Content content) throws IOException {
-        final RecordFile.AppendResult result =
-                file.append(Records.encode(type, id, content), HandoverWriter::logWriteFailure);
+        append(Records.encode(type, id, content));
+    }
+
+    private void append(final ByteBuffer record) throws IOException {
+        final RecordFile.AppendResult result = file.append(record, HandoverWriter::logWriteFailure);
         if (result != RecordFile.AppendResult.WRITTEN) {
             throw new IOException("cannot append a record to the handover file");
         }
--- a/src/main/java/railspar/node/MessageService.java
+++ b/src/main/java/railspar/node/MessageService.java
@@ -442,12 +442,7 @@
     void handOver(final HandoverWriter file) throws IOException {
         unrecordedCalls.cancelUnsent(endpoint -> true);
         journal.flush();
-        for (final Courier.Endpoint entry : discovery.entries()) {
-            final Courier.EndpointSnapshot snapshot = control.snapshot(clock.nowUs(), entry.id());
-            if (!snapshot.values().isEmpty()) {
-                file.writeSnapshot(discovery.nameOf(entry.id()), snapshot);
-            }
-        }
+        writeSnapshots(file);
         for (final OpenMessage message : messages.values()) {
             if (message.accepted.hasAttemptInFlight()) {
                 final String endpointName = message.call == null
@@ -470,6 +465,21 @@
         Log.info("leaves: another process goes on with " + messages.size() + " messages, " + endpointClient.describe());
     }
 
+    /** Writes what was learned of the destinations, as far as the file has room: the most important first. */
+    private void writeSnapshots(final HandoverWriter file) throws IOException {
+        int written = 0;
+        for (final long endpoint : control.snapshotOrder(clock.nowUs())) {
+            final Courier.EndpointSnapshot snapshot = control.snapshot(clock.nowUs(), endpoint);
+            final Courier.EndpointSnapshot content = written == 0 ? snapshot : snapshot.withoutClassValues();
+            if (!file.writeSnapshot(discovery.nameOf(endpoint), content)) {
+                Log.info("handover: what was learned of endpoints is passed on for " + written
+                        + " of them, the disk limit allows no more");
+                return;
+            }
+            written++;
+        }
+    }
+
     /** During a handover, accepts a message for the successor; its client is answered once the file contains it. */
     private void acceptForSuccessor(final AcceptedMessage accepted, final Reply reply) {
         final Journal.Admission admission = handover.accept(accepted);
--- a/src/test/java/railspar/ControlTest.java
+++ b/src/test/java/railspar/ControlTest.java
@@ -985,6 +985,48 @@
                 id, messageClass, -1, key, fixture.nowUs + 16 * ControlFixture.SECOND, ControlFixture.DEST);
     }
 
+    /** Guards against snapshots that repeat a destination's state for each endpoint, and drop the wrong ones first. */
+    @Test
+    void snapshotsHoldEachDestinationOnceAndThoseInTroubleFirst() {
+        final ControlFixture old = new ControlFixture(ControlFixture.settings());
+        old.updateList(
+                Courier.ListUpdate.CACHED,
+                ControlFixture.endpoint(1, 10, "a"),
+                ControlFixture.endpoint(2, 10, "a"),
+                ControlFixture.endpoint(3, 11, "a"),
+                ControlFixture.endpoint(4, 12, "a"),
+                ControlFixture.endpoint(5, 13, "a"));
+        for (long destination = 10; destination < 13; destination++) {
+            old.acceptFor("m" + destination, 0, destination);
+            old.advance(ControlFixture.SECOND);
+            final boolean delivered = destination != 10;
+            old.endAttempt(
+                    "m" + destination,
+                    delivered ? Courier.Result.DELIVERED : Courier.Result.REFUSED,
+                    delivered ? 0 : 9 * ControlFixture.SECOND);
+        }
+        final List<Long> order = old.control.snapshotOrder(old.nowUs);
+        assertEquals(3, order.size(), "one endpoint of each destination in use: " + order);
+        assertTrue(order.get(0) <= 2, "the destination with a wait is first: " + order);
+        assertEquals(List.of(4L, 3L), order.subList(1, 3), "then those used last");
+        final Courier.EndpointSnapshot whole = old.control.snapshot(old.nowUs, 3);
+        final Courier.EndpointSnapshot reduced = whole.withoutClassValues();
+        final ControlFixture next = new ControlFixture(ControlFixture.settings());
+        next.nowUs = old.nowUs;
+        next.updateList(
+                Courier.ListUpdate.CACHED,
+                ControlFixture.endpoint(1, 10, "a"),
+                ControlFixture.endpoint(2, 10, "a"),
+                ControlFixture.endpoint(3, 11, "a"));
+        next.control.onEndpointSnapshot(next.nowUs, order.get(0), old.control.snapshot(old.nowUs, order.get(0)));
+        next.control.onEndpointSnapshot(next.nowUs, 3, reduced);
+        assertEquals(whole, next.control.snapshot(next.nowUs, 3), "the values of the classes are kept");
+        assertEquals(
+                old.control.describe(10).replace("waiting 1", "waiting 0"),
+                next.control.describe(10),
+                "all but the message itself, which is resumed apart");
+    }
+
     @Test
     void retryAfterIsHandedOverToTheSuccessor() {
         final ControlFixture old = ControlFixture.withTwoEndpoints(ControlFixture.settings());
--- a/src/test/java/railspar/node/HandoverTest.java
+++ b/src/test/java/railspar/node/HandoverTest.java
@@ -15,8 +15,10 @@
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -326,4 +328,54 @@
         });
         return accepted[0];
     }
+
+    private static String listOfDestinations(final String address, final int destinations) {
+        final List<String> entries = new ArrayList<>();
+        for (int number = 0; number < 2 * destinations; number++) {
+            entries.add(CourierProcessFixture.hostEntry("s-%08x".formatted(number), address, "Ready")
+                    .replace("\"block\":7", "\"block\":" + (100 + number / 2)));
+        }
+        return String.join(",", entries);
+    }
+
+    private long bytesInStateFolder(final String prefix) throws IOException {
+        long bytes = 0;
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder.resolve("state"), prefix + "*")) {
+            for (final Path file : files) {
+                bytes += Files.size(file);
+            }
+        }
+        return bytes;
+    }
+
+    /** Guards against a handover file that grows with the list and the classes beyond the limit of the folder. */
+    @Test
+    void handoverFileStaysWithinItsShareOfTheDiskHoweverMuchWasLearned() throws IOException, InterruptedException {
+        final int destinations = 600;
+        final int megabyte = 1_000_000;
+        fixture.diskMb = 1;
+        fixture.maxOpen = 1_000_000;
+        fixture.hosts = CourierProcessFixture.hostEntry("e1", fixture.second, "Ready") + ","
+                + listOfDestinations(fixture.first.address(), destinations);
+        neverAnswer(fixture.second, "pending");
+        fixture.start();
+        try (Socket client = fixture.connect()) {
+            for (int number = 0; number < destinations; number++) {
+                final String message =
+                        CourierProcessFixture.message("m" + number, "safe").replace("dest=7", "dest=" + (100 + number));
+                assertEquals(202, CourierProcessFixture.send(client, message).status());
+            }
+        }
+        fixture.await("the deliveries", () -> fixture.first.ids().size() == destinations);
+        assertEquals(202, fixture.submit("pending", "once").status());
+        fixture.await("the call that keeps the old process", () -> fixture.second.requests.size() == 1);
+        final Process old = fixture.startSuccessor();
+        fixture.endOldProcess(old, false);
+        assertTrue(old.isAlive());
+        final long fileBytes = bytesInStateFolder(HandoverWriter.FILE_PREFIX);
+        assertTrue(fileBytes > 0 && fileBytes <= 0.15 * megabyte, "the handover file holds " + fileBytes + " bytes");
+        assertTrue(bytesInStateFolder("") <= megabyte);
+        assertEquals(202, fixture.submit("after", "safe").status());
+        fixture.await("the next call", () -> fixture.second.ids().contains("after"));
+    }
 }
