Answer a request that has begun when its connection makes room for another

Cause: the connection silent for longest was closed for room although a part of a request had been read, and nobody looked whether more waited in the socket. Ruled out: the request timeout, which answers.

Change: idle connections are closed if nothing waits in the socket; incomplete requests are answered with 503.

--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -108,10 +108,12 @@
     /** Share of the descriptors for client connections. Clients need a third of them for their requests. */
     private static final double CLIENT_SOCKET_SHARE = 0.45;
     /**
-     * A connection that was opened or active within this time is not shed: its request may still be unread in the
-     * kernel.
+     * A connection that was opened or active within this time is not closed to make room, and a request that has begun
+     * within it is not ended.
      */
     private static final long MIN_SILENCE_US = 200_000;
+    /** While room is made, this share of the connections that are allowed is being ended at most. */
+    private static final double MAX_ENDING_SHARE = 0.5;
     /**
      * How long accepting pauses when the connection limit is reached. Also the delay before idle connections are
      * closed at a shutdown, and the interval of the checks of the accept queue.
@@ -309,7 +311,7 @@
         connectionLimit =
                 (int) Math.max(1, Math.min(connectionLimit, Math.max(minimum, SHORTAGE_SHARE * sessions.size())));
         shortageUntilUs = clock.nowUs() + SHORTAGE_DURATION_US;
-        shedSilentConnections();
+        makeRoom();
     }
 
     private void sweep() {
@@ -332,23 +334,48 @@
     }
 
     /**
-     * Closes the connections that have been silent for longest while the connection limit is reached. If none can be
-     * closed, accepting pauses.
+     * Makes room while the connection limit is reached: closes connections whose last response was sent a while ago,
+     * then idle ones, the one that has been silent for longest first. If there is none, accepting pauses, and clients
+     * that hold a connection without completing a request are answered with an error.
      */
-    private void shedSilentConnections() {
+    private void makeRoom() {
         while (sessions.size() >= connectionLimit) {
             final long beforeUs = clock.nowUs() - MIN_SILENCE_US;
-            final Session longestSilent = sessions.stream()
-                    .filter(session -> session.isSilentSince(beforeUs))
+            final Session closable = sessions.stream()
+                    .filter(session -> session.isClosable(beforeUs))
                     .min(Comparator.comparing((Session session) -> !session.closing)
                             .thenComparingLong(session -> session.lastActivityUs))
                     .orElse(null);
-            if (longestSilent == null) {
+            if (closable == null) {
+                endWaitsForPeers(beforeUs);
                 pauseAccepting();
                 return;
             }
+            if (!closable.closing && closable.hasUnreadInput()) {
+                closable.lastActivityUs = clock.nowUs();
+            } else {
+                service.connectionShed();
+                closable.closeNow();
+            }
+        }
+    }
+
+    /**
+     * Answers incomplete requests with an error, and closes connections whose responses are not read: where the
+     * client has been silent, the longest wait first. A response takes a moment to end its connection, so
+     * some of the connections are ended at once.
+     */
+    private void endWaitsForPeers(final long beforeUs) {
+        final long ending = sessions.stream().filter(session -> session.closing).count();
+        final long wanted = (long) Math.ceil(MAX_ENDING_SHARE * connectionLimit) - ending;
+        final List<Session> waiting = sessions.stream()
+                .filter(session -> session.hasWaitedForPeerSince(beforeUs) && session.lastActivityUs <= beforeUs)
+                .sorted(Comparator.comparingLong(Session::waitingForPeerSinceUs))
+                .limit(Math.max(0, wanted))
+                .toList();
+        for (final Session session : waiting) {
             service.connectionShed();
-            longestSilent.closeNow();
+            session.endWaitForPeer();
         }
     }
 
@@ -379,22 +406,20 @@
         }
     }
 
-    /** Pauses accepting for a moment; the kernel queues new connections meanwhile. */
+    /** Pauses accepting until there is room, or for a moment; the kernel queues new connections meanwhile. */
     private void pauseAccepting() {
         if (!acceptPaused && listener != null && accepting) {
             acceptPaused = true;
             listener.config().setAutoRead(false);
-            listener.eventLoop()
-                    .schedule(
-                            () -> {
-                                acceptPaused = false;
-                                if (accepting) {
-                                    listener.config().setAutoRead(true);
-                                    shedSilentConnections();
-                                }
-                            },
-                            ACCEPT_PAUSE_MS,
-                            TimeUnit.MILLISECONDS);
+            listener.eventLoop().schedule(this::resumeAccepting, ACCEPT_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void resumeAccepting() {
+        acceptPaused = false;
+        if (accepting) {
+            listener.config().setAutoRead(true);
+            makeRoom();
         }
     }
 
@@ -454,8 +479,10 @@
         private boolean reading;
         /** The error response to send after the queued requests are answered; null while the input is valid. */
         private HttpResponseStatus errorStatus;
-        /** All responses are written: further input is read and discarded. */
+        /** The last response is being written, or was: further input is read and discarded. */
         private boolean closing;
+        /** When the output was shut down after the last response; {@link #NEVER} before. */
+        private long closingSinceUs = NEVER;
 
         /** When the connection was opened, or its latest request head arrived or was dequeued. */
         private long lastRequestUs = clock.nowUs();
@@ -491,10 +518,10 @@
          * response to its next request.
          */
         private void timeOut() {
-            if (!requestStarted) {
-                closeGracefully();
-            } else {
+            if (requestStarted) {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            } else if (!hasUnreadInput()) {
+                closeGracefully();
             }
         }
 
@@ -507,9 +534,23 @@
             }
         }
 
-        /** True if the connection has no complete request and has been silent since that time. */
-        private boolean isSilentSince(final long beforeUs) {
-            return context != null && current == null && queue.isEmpty() && lastActivityUs <= beforeUs;
+        /** True if its last response was sent before that time, or the connection has been idle since then. */
+        private boolean isClosable(final long beforeUs) {
+            if (context == null) {
+                return false;
+            }
+            return closing ? closingSinceUs <= beforeUs : isIdle() && !requestStarted && lastActivityUs <= beforeUs;
+        }
+
+        /** Whether bytes have arrived that have not been read yet. */
+        private boolean hasUnreadInput() {
+            return ((TrackedSocketChannel) context.channel()).hasUnreadInput();
+        }
+
+        /** True if a request is incomplete, or responses are not read, since that time or longer. */
+        private boolean hasWaitedForPeerSince(final long beforeUs) {
+            final boolean isEnding = closing ? closingSinceUs != NEVER : errorStatus != null;
+            return context != null && !isEnding && waitingForPeerSinceUs() <= beforeUs;
         }
 
         private boolean isIdle() {
@@ -517,7 +558,7 @@
         }
 
         private void closeIfIdle() {
-            if (isIdle() && !requestStarted) {
+            if (isIdle() && !requestStarted && !hasUnreadInput()) {
                 closeGracefully();
             }
         }
@@ -529,6 +570,7 @@
          */
         private void closeGracefully() {
             closing = true;
+            closingSinceUs = Math.min(closingSinceUs, clock.nowUs());
             reading = false;
             timeoutStartUs = NEVER;
             responseWaitStartUs = NEVER;
@@ -564,14 +606,21 @@
         }
 
         /** Ends the wait for the peer: rejects an incomplete request, or closes if responses are not read. */
-        private void releaseMemory() {
+        private void endWaitForPeer() {
             if (responseWaitStartUs != NEVER) {
                 closeNow();
-                return;
+            } else {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+
+        /** Ends the wait for the peer, and frees the memory that it has used. */
+        private void releaseMemory() {
+            endWaitForPeer();
+            if (sessions.contains(this)) {
+                decoder.compact();
+                updateMemory();
             }
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            decoder.compact();
-            updateMemory();
         }
 
         private void updateMemory() {
@@ -600,7 +649,7 @@
         public void channelActive(final ChannelHandlerContext ctx) {
             context = ctx;
             acceptedConnections++;
-            shedSilentConnections();
+            makeRoom();
             sessions.add(this);
         }
 
--- a/src/main/java/railspar/node/TrackedSocketChannel.java
+++ b/src/main/java/railspar/node/TrackedSocketChannel.java
@@ -54,6 +54,15 @@
         }
     }
 
+    /** Whether bytes from the peer wait in the socket. Takes none of them, and does not see the end of the input. */
+    boolean hasUnreadInput() {
+        try {
+            return javaChannel().socket().getInputStream().available() > 0;
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
     @Override
     protected void doWrite(final ChannelOutboundBuffer queued) throws Exception {
         writeCount++;
