Make room for other clients when slow writers hold every connection

Cause: at the connection limit only silent connections made room, so accepting paused until a request timed out. Ruled out: the loop's time (a sixth of a core).

Result: ConnectionLimitTest.otherClients... failed before (every writer had been ended with 408 first) and passes.

--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -361,16 +361,17 @@
     }
 
     /**
-     * Answers incomplete requests with an error, and closes connections whose responses are not read: where the
-     * client has been silent, the longest wait first. A response takes a moment to end its connection, so
+     * Answers incomplete requests with an error, and closes connections whose responses are not read: first where the
+     * client has been silent, then where it has waited longest. A response takes a moment to end its connection, so
      * some of the connections are ended at once.
      */
     private void endWaitsForPeers(final long beforeUs) {
         final long ending = sessions.stream().filter(session -> session.closing).count();
         final long wanted = (long) Math.ceil(MAX_ENDING_SHARE * connectionLimit) - ending;
         final List<Session> waiting = sessions.stream()
-                .filter(session -> session.hasWaitedForPeerSince(beforeUs) && session.lastActivityUs <= beforeUs)
-                .sorted(Comparator.comparingLong(Session::waitingForPeerSinceUs))
+                .filter(session -> session.hasWaitedForPeerSince(beforeUs))
+                .sorted(Comparator.comparing((Session session) -> session.lastActivityUs > beforeUs)
+                        .thenComparingLong(Session::waitingForPeerSinceUs))
                 .limit(Math.max(0, wanted))
                 .toList();
         for (final Session session : waiting) {
--- a/src/test/java/railspar/node/ConnectionLimitTest.java
+++ b/src/test/java/railspar/node/ConnectionLimitTest.java
@@ -1,6 +1,7 @@
 package railspar.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +24,7 @@
 
     private static final int REQUEST_TIMEOUT = 408;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final long WRITE_INTERVAL_MS = 50;
     private static final Set<Integer> ANSWERS = Set.of(202, REQUEST_TIMEOUT, SERVICE_UNAVAILABLE);
 
     private final List<Socket> peers = new ArrayList<>();
@@ -99,4 +102,44 @@
             peer.close();
         }
     }
+
+    /** Guards against clients that write slowly without a pause and keep all connections until their time is up. */
+    @Test
+    void otherClientsNeedNotWaitUntilTheRequestsOfSlowWritersTimeOut() throws Exception {
+        fixture.start();
+        final List<Integer> ends = new CopyOnWriteArrayList<>();
+        connectPeers(ALLOWED + ALLOWED / 4, "POST /safe HTTP/1.1\r\nHost: backend.local\r\nX-Long: ");
+        final Thread writer = new Thread(() -> writeUntilAllHaveEnded(ends));
+        writer.start();
+        assertEquals(202, fixture.submit("other", "safe").status(), "" + fixture.log);
+        final List<Integer> before = List.copyOf(ends);
+        assertFalse(before.contains(REQUEST_TIMEOUT), "ended before the other client was answered: " + before);
+        writer.join(TimeUnit.SECONDS.toMillis(CourierProcessFixture.TIMEOUT_S));
+        assertEquals(peers.size(), ends.size());
+        assertTrue(ANSWERS.containsAll(ends), "each writer is answered: " + ends);
+        closePeers();
+    }
+
+    /** Writes a byte to each peer now and then; notes the status that it gets. */
+    private void writeUntilAllHaveEnded(final List<Integer> ends) {
+        final List<Socket> open = new ArrayList<>(peers);
+        while (!open.isEmpty()) {
+            for (final Socket peer : List.copyOf(open)) {
+                try {
+                    if (peer.getInputStream().available() > 0) {
+                        open.remove(peer);
+                        ends.add(CourierProcessFixture.read(peer.getInputStream())
+                                .status());
+                        peer.close();
+                    } else {
+                        write(peer, "x");
+                    }
+                } catch (final IOException e) {
+                    open.remove(peer);
+                    ends.add(0);
+                }
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_INTERVAL_MS));
+        }
+    }
 }
