Remember the ids of messages that have ended, so that none runs again

Cause: an id was known while its message was open only, and a successor looked for it before it read its predecessor's file. Ruled out: requests served from the queue of a client that has left.

COMPLETED records carry the end, which older programs ignore; only a compaction writes the new type.

--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -814,8 +814,10 @@
                 respond(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
-            if (service.hasMessage(id)) {
-                respond(HttpResponseStatus.CONFLICT, 0);
+            final MessageService.PriorSubmission prior = service.findSubmission(id);
+            if (prior != MessageService.PriorSubmission.NONE) {
+                final boolean delivered = prior == MessageService.PriorSubmission.DELIVERED;
+                respond(delivered ? HttpResponseStatus.ACCEPTED : HttpResponseStatus.CONFLICT, 0);
                 return;
             }
             final long requestedUs = Math.min(timeoutMs, messageClass.deadlineUs() / US_PER_MS) * US_PER_MS;
--- a/src/main/java/railspar/node/Journal.java
+++ b/src/main/java/railspar/node/Journal.java
@@ -34,6 +34,12 @@
     private static final double FILE_SHARE = 0.4;
     /** Share of a file for accepted messages; the rest is for records of attempts and outcomes, which must fit. */
     private static final double ACCEPTED_SHARE = 0.6;
+    /** Share of a file for the records of ended messages. */
+    private static final double ENDED_SHARE = 0.1;
+    /** Length of the record of an ended message without its id. */
+    private static final int ENDED_RECORD_BYTES = 20;
+    /** The length of most ids, at least, by which the number of ended messages is reckoned. */
+    private static final int USUAL_ID_CHARS = 16;
     /** Space reserved per message for the records of its attempts and notice, which are few and short. */
     private static final int OUTCOME_RESERVE_BYTES = 256;
 
@@ -43,6 +49,9 @@
     private static final byte NOTICE_PENDING = 4;
     private static final byte COMPLETED = 5;
     private static final byte READ_POSITION = 6;
+    private static final byte ENDED = 7;
+    /** A time before the end of all remembered messages: while the file is read, only their number is limited. */
+    private static final long NEVER_OVER = Long.MIN_VALUE;
     /** For {@link #recordReadPosition}: the file has been removed. */
     static final long FILE_REMOVED = -1;
 
@@ -52,6 +61,7 @@
     private final MemoryBudget memory;
 
     private final Map<String, AcceptedMessage> openMessages = new LinkedHashMap<>();
+    private final EndedMessages endedMessages;
     /** How far the handover files of predecessor processes have been read, by file name. */
     private final Map<String, Long> readPositions = new LinkedHashMap<>();
 
@@ -69,6 +79,10 @@
         this.folder = folder;
         this.memory = memory;
         this.maxFileBytes = (long) (FILE_SHARE * diskBytes);
+        final long endedBytes = (long) (ENDED_SHARE * maxFileBytes);
+        final long endedOnDisk = endedBytes / (ENDED_RECORD_BYTES + USUAL_ID_CHARS);
+        this.endedMessages =
+                new EndedMessages((int) Math.min(memory.maxEndedMessages(), endedOnDisk), USUAL_ID_CHARS * endedOnDisk);
     }
 
     /** Opens or creates the journal of a folder, and reads the open messages. */
@@ -122,6 +136,7 @@
             memory.release(message);
             return append == RecordFile.AppendResult.UNCERTAIN ? Admission.UNCERTAIN : Admission.REJECTED;
         }
+        endedMessages.remove(message.id);
         openMessages.put(message.id, message);
         openMessageBytes += bytes;
         return Admission.ACCEPTED;
@@ -132,6 +147,7 @@
         if (append(acceptedRecord(message)) != RecordFile.AppendResult.WRITTEN) {
             return false;
         }
+        endedMessages.remove(message.id);
         openMessages.put(message.id, message);
         openMessageBytes += journalBytes(message);
         memory.charge(message);
@@ -168,12 +184,30 @@
 
     /** Records that a message is complete and needs no notice; false while the record is not written. */
     boolean complete(final AcceptedMessage message) {
-        if (openMessages.remove(message.id) == null) {
+        return !removeOpen(message) || writeOrQueue(Records.encode(COMPLETED, message.id, out -> {}));
+    }
+
+    /** As {@link #complete(AcceptedMessage)}, for a message that may have been carried out: its id is remembered. */
+    boolean complete(final AcceptedMessage message, final EndedMessages.End end, final long nowPersistentUs) {
+        if (!removeOpen(message)) {
             return true;
         }
+        endedMessages.add(message.id, end, nowPersistentUs);
+        return writeOrQueue(endRecord(COMPLETED, message.id, end));
+    }
+
+    private boolean removeOpen(final AcceptedMessage message) {
+        if (openMessages.remove(message.id) == null) {
+            return false;
+        }
         openMessageBytes -= journalBytes(message);
         memory.release(message);
-        return writeOrQueue(Records.encode(COMPLETED, message.id, out -> {}));
+        return true;
+    }
+
+    /** How a message that may have been carried out has ended; null if that is not remembered. */
+    EndedMessages.End findEnd(final String id, final long nowPersistentUs) {
+        return endedMessages.find(id, nowPersistentUs);
     }
 
     /** Records how far the handover file of a predecessor has been processed, or that the file was removed. */
@@ -234,6 +268,14 @@
         });
     }
 
+    /** A completed message with its end, which older programs ignore; or, after a compaction, the end alone. */
+    private static ByteBuffer endRecord(final byte type, final String id, final EndedMessages.End end) {
+        return Records.encode(type, id, out -> {
+            out.writeBoolean(end.delivered());
+            out.writeLong(end.untilPersistentUs());
+        });
+    }
+
     private static ByteBuffer noticeRecord(final AcceptedMessage message) {
         return Records.encode(NOTICE_PENDING, message.id, out -> {
             out.writeBoolean(message.notice().failed());
@@ -359,6 +401,9 @@
                 written = writeRecord(newFile, noticeRecord(message), written);
             }
         }
+        for (final EndedMessages.Entry entry : endedMessages.entries()) {
+            written = writeRecord(newFile, endRecord(ENDED, entry.id(), entry.end()), written);
+        }
         for (final Map.Entry<String, Long> entry : readPositions.entrySet()) {
             written = writeRecord(
                     newFile,
@@ -396,6 +441,9 @@
         final AcceptedMessage message = openMessages.get(id);
         if (type == ACCEPTED) {
             openMessages.put(id, parseAccepted(id, in));
+            endedMessages.remove(id);
+        } else if (type == ENDED) {
+            applyEnd(id, in);
         } else if (type == READ_POSITION) {
             setReadPosition(id, in.readLong());
         } else if (message != null) {
@@ -403,12 +451,21 @@
                 case ATTEMPT_STARTED -> message.beginAttempt(in.readLong(), in.readUTF());
                 case ATTEMPT_ENDED -> message.endAttempt(in.readBoolean());
                 case NOTICE_PENDING -> message.setNotice(new AcceptedMessage.Notice(in.readBoolean(), in.readLong()));
-                case COMPLETED -> openMessages.remove(id);
+                case COMPLETED -> {
+                    openMessages.remove(id);
+                    applyEnd(id, in);
+                }
                 default -> Log.info("journal: ignored a record of unknown type " + type);
             }
         }
     }
 
+    private void applyEnd(final String id, final DataInputStream in) throws IOException {
+        if (in.available() > 0) {
+            endedMessages.add(id, new EndedMessages.End(in.readBoolean(), in.readLong()), NEVER_OVER);
+        }
+    }
+
     /** Parses a record written by {@link #acceptedRecord(AcceptedMessage)}. */
     static AcceptedMessage parseAccepted(final String id, final DataInputStream in) throws IOException {
         final String className = in.readUTF();
--- a/src/main/java/railspar/node/MemoryBudget.java
+++ b/src/main/java/railspar/node/MemoryBudget.java
@@ -24,6 +24,10 @@
     private static final long IDLE_DESTINATION_BYTES = 1024;
     /** The learned state of this many idle destinations is always kept. */
     private static final int MIN_IDLE_DESTINATIONS = 1024;
+    /** Share of the heap for the ids of ended messages, and heap per id without its characters; part of the reserve. */
+    private static final double ENDED_MESSAGE_SHARE = 1.0 / 64;
+
+    private static final long ENDED_MESSAGE_BYTES = 256;
     /** Heap overhead of an optional string of a message, apart from its characters. */
     private static final long STRING_OVERHEAD_BYTES = 56;
 
@@ -60,6 +64,11 @@
         return of(Long.MAX_VALUE);
     }
 
+    /** Number of ended messages whose ids may be remembered. */
+    int maxEndedMessages() {
+        return (int) Math.min(Integer.MAX_VALUE, (long) (ENDED_MESSAGE_SHARE * heapBytes / ENDED_MESSAGE_BYTES));
+    }
+
     /** Charges a submitted message; returns false and charges nothing if that would exceed the budget. */
     boolean admit(final AcceptedMessage message) {
         final long bytes = bytesOf(message);
--- a/src/main/java/railspar/node/MessageService.java
+++ b/src/main/java/railspar/node/MessageService.java
@@ -52,6 +52,11 @@
     private static final double DEDUP_WINDOW_MARGIN = 0.05;
     /** Requests and answers in doubt that are logged with their ids between two reports. */
     private static final int MAX_IN_DOUBT_LOGGED = 50;
+    /**
+     * How long at least the id of an ended message is remembered that may have been carried out: a client that got no
+     * answer submits its message again within some seconds.
+     */
+    private static final long ENDED_MEMORY_US = 10_000_000;
     /** Retry-after when the store is full: messages stay in it for some seconds, so that there is soon room for one. */
     private static final long STORE_FULL_RETRY_US = 1_000_000;
 
@@ -420,6 +425,11 @@
             if (journal.contains(accepted.id)) {
                 return;
             }
+            final EndedMessages.End end = journal.findEnd(accepted.id, clock.persistentUs());
+            if (end != null) {
+                repeatEnd(accepted, end);
+                return;
+            }
             counters.messageAccepted();
             if (journal.acceptInherited(accepted)) {
                 resumeOrNotify(accepted);
@@ -429,6 +439,14 @@
             }
         }
 
+        /** The message ended here already when the predecessor accepted it once more: it is not carried out again. */
+        private void repeatEnd(final AcceptedMessage accepted, final EndedMessages.End end) {
+            if (!end.delivered()) {
+                accepted.setNotice(new AcceptedMessage.Notice(true, 0));
+                addNotice(accepted);
+            }
+        }
+
         @Override
         public void onWithdrawn(final String id) {
             withdraw(id);
@@ -540,9 +558,29 @@
         return discovery.isPossibleDestination(destination);
     }
 
-    /** True while a message with that id has not ended. */
-    boolean hasMessage(final String id) {
-        return messages.containsKey(id) || acceptedForSuccessor.contains(id) || journal != null && journal.contains(id);
+    /** What is known of a message that is submitted. */
+    enum PriorSubmission {
+        /** Nothing: it may be accepted. */
+        NONE,
+        /** A message with that id was delivered a short while ago. */
+        DELIVERED,
+        /** A message with that id has not ended, or ended undelivered and may have been carried out. */
+        CONFLICT
+    }
+
+    /** What is known of a message with that id, here and in predecessor processes. */
+    PriorSubmission findSubmission(final String id) {
+        if (handover == null) {
+            readPredecessors();
+        }
+        if (messages.containsKey(id) || acceptedForSuccessor.contains(id) || journal != null && journal.contains(id)) {
+            return PriorSubmission.CONFLICT;
+        }
+        final EndedMessages.End end = journal == null ? null : journal.findEnd(id, clock.persistentUs());
+        if (end == null) {
+            return PriorSubmission.NONE;
+        }
+        return end.delivered() ? PriorSubmission.DELIVERED : PriorSubmission.CONFLICT;
     }
 
     /** Accepts a message if there is room; the reply is sent at the end of the pass. */
@@ -704,7 +742,7 @@
         final boolean delivered = outcome.result() == Courier.Result.DELIVERED;
         if (!message.ended) {
             if (delivered) {
-                complete(message);
+                complete(message, true);
             } else if (outcome.isFinal()) {
                 // Harmless if the endpoint is right that the message is over; if it errs, the message still needs an
                 // end.
@@ -733,7 +771,7 @@
             return;
         }
         for (final AcceptedMessage accepted : confirmed) {
-            journal.complete(accepted);
+            completeInJournal(accepted, false);
             if (endedInCall.contains(accepted.id)) {
                 confirmedInCall.put(accepted.id, accepted);
             } else {
@@ -1046,12 +1084,28 @@
         return metrics;
     }
 
-    /** Completes a message that needs no notice; false if the journal could not record it. */
+    /** Completes an undelivered message that needs no notice; false if the journal could not record it. */
     private boolean complete(final OpenMessage message) {
+        return complete(message, false);
+    }
+
+    private boolean complete(final OpenMessage message, final boolean delivered) {
         message.ended = true;
         message.reply = null;
         messages.remove(message.accepted.id);
-        return journal.complete(message.accepted);
+        return completeInJournal(message.accepted, delivered);
+    }
+
+    /** Completes a message; the id of one that may have been carried out is remembered, unless a repeat is harmless. */
+    private boolean completeInJournal(final AcceptedMessage accepted, final boolean delivered) {
+        final Courier.MessageClass messageClass = messageClass(accepted.className);
+        final boolean isRepeatable = messageClass != null && messageClass.effect() == Courier.Effect.SAFE;
+        if (isRepeatable || !delivered && !accepted.mayHaveTakenEffect()) {
+            return journal.complete(accepted);
+        }
+        final long nowUs = clock.persistentUs();
+        final long untilUs = Math.max(accepted.validUntilPersistentUs, nowUs + ENDED_MEMORY_US);
+        return journal.complete(accepted, new EndedMessages.End(delivered, untilUs), nowUs);
     }
 
     @Override
--- a/src/test/java/railspar/node/JournalTest.java
+++ b/src/test/java/railspar/node/JournalTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -237,4 +238,25 @@
             return files.mapToLong(file -> file.toFile().length()).sum();
         }
     }
+
+    /** Guards that ended messages are remembered across a restart and a compaction, within a share of the file. */
+    @Test
+    void endedMessagesAreRememberedAcrossCompactionsWithinALimit() throws IOException {
+        final int messages = 2000;
+        final EndedMessages.End end = new EndedMessages.End(true, 1_000_000);
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            for (int index = 0; index < messages; index++) {
+                final AcceptedMessage message = message("message-%08d".formatted(index), 100);
+                assertTrue(accepts(journal, message));
+                assertTrue(journal.complete(message, end, 0));
+            }
+        }
+        assertTrue(Files.size(folder.resolve("journal")) <= 0.4 * DISK_BYTES);
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertEquals(end, journal.findEnd("message-%08d".formatted(messages - 1), 0));
+            assertEquals(end, journal.findEnd("message-%08d".formatted(messages - 100), 0));
+            assertNull(journal.findEnd("message-%08d".formatted(0), 0), "the oldest are forgotten");
+            assertEquals(List.of(), List.copyOf(journal.openMessages()));
+        }
+    }
 }
