Serve one request of a client connection in each pass of the event loop

Cause: a connection was read up to 16 times in a pass, and what needs no decision was answered as it was decoded. Ruled out: the reads alone (with one read a pass the median stayed at 1.2 s), and accepting.

Change: one read and one request a pass; nothing is read while a request waits. At a drain a connection is not said to close while more of its requests wait in the socket.

--- a/src/main/java/railspar/node/ClientServer.java
+++ b/src/main/java/railspar/node/ClientServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
@@ -36,6 +37,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -57,10 +59,6 @@
     /** The path segment that names a message class or an ordering key. */
     private static final Pattern PATH_SEGMENT = Pattern.compile("[A-Za-z0-9._~-]{1,128}");
 
-    /** When this much is queued on a connection, nothing more is read from it. */
-    private static final int MAX_QUEUED_REQUESTS = 16;
-
-    private static final long MAX_QUEUED_BYTES = 64 << 10;
     private static final int ACCEPT_BACKLOG = 1024;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
@@ -76,9 +74,12 @@
     private static final WriteBufferWaterMark RESPONSE_WATER_MARK = new WriteBufferWaterMark(2 << 10, 4 << 10);
     /** Memory of the unread responses of a connection whose requests wait: 25 small ones and their buffers. */
     private static final long UNREAD_RESPONSES_BYTES = 16 << 10;
-    /** Sizes of receive buffers: smallest, first and largest. A larger one would bring too many requests at once. */
-    private static final AdaptiveRecvByteBufAllocator RECEIVE_BUFFERS =
-            new AdaptiveRecvByteBufAllocator(64, 2 << 10, 8 << 10);
+    /**
+     * Sizes of receive buffers: smallest, first and largest. A larger one would bring too many requests at once. A
+     * connection is read once in each pass of the event loop, so that none takes the time of the others.
+     */
+    private static final RecvByteBufAllocator RECEIVE_BUFFERS =
+            new AdaptiveRecvByteBufAllocator(64, 2 << 10, 8 << 10).maxMessagesPerRead(1);
     /** Memory of a request apart from its text: its objects and those of its headers. */
     private static final long REQUEST_OVERHEAD_BYTES = 2 << 10;
 
@@ -141,6 +142,9 @@
     private long acceptedConnections;
 
     private final Set<Session> sessions = new HashSet<>();
+    /** Connections with a request that is served in the next pass of the event loop. */
+    private final Set<Session> waitingForNextPass = new LinkedHashSet<>();
+
     private final ConnectionMemory memory;
     /** Connections ended for their memory since the last log line about it. */
     private int memoryReliefs;
@@ -399,6 +403,20 @@
         }
     }
 
+    /** Lets a connection continue with its next request once the other sockets have been read. */
+    private void serveInNextPass(final Session session) {
+        if (waitingForNextPass.isEmpty()) {
+            session.context.executor().schedule(this::serveWaiting, 0, TimeUnit.MILLISECONDS);
+        }
+        waitingForNextPass.add(session);
+    }
+
+    private void serveWaiting() {
+        final List<Session> due = List.copyOf(waitingForNextPass);
+        waitingForNextPass.clear();
+        due.forEach(Session::serveNext);
+    }
+
     private void logMemoryRelief() {
         if (memoryReliefs > 0) {
             Log.info("ended " + memoryReliefs + " client connections: all of them held over " + memory.limitBytes()
@@ -660,6 +678,7 @@
             if (!requestStarted && !reading && !closing && decoder.hasPartialRequest()) {
                 bytesArrived();
             }
+            serveNext();
             updateMemory();
             relieveMemory();
             ctx.fireChannelReadComplete();
@@ -671,7 +690,7 @@
                 waitForReader();
             } else if (!closing) {
                 responseWaitStartUs = NEVER;
-                ctx.executor().execute(this::serveNext);
+                serveInNextPass(this);
             }
             updateAutoRead();
             updateMemory();
@@ -682,10 +701,9 @@
             responseWaitStartUs = Math.min(responseWaitStartUs, clock.nowUs());
         }
 
+        /** Nothing is read while a complete request waits: what one connection can ask for in a pass is limited. */
         private void updateAutoRead() {
-            final boolean canServe = queue.size() < MAX_QUEUED_REQUESTS
-                    && queuedBytes < MAX_QUEUED_BYTES
-                    && context.channel().isWritable();
+            final boolean canServe = queue.isEmpty() && context.channel().isWritable();
             context.channel().config().setAutoRead(closing || canServe);
         }
 
@@ -736,7 +754,6 @@
                     requestStarted = false;
                     timeoutStartUs = NEVER;
                     enqueue(new Request(head, headBytes, body.take(), firstBytesUs));
-                    serveNext();
                 }
             }
         }
@@ -747,14 +764,11 @@
         }
 
         /**
-         * Serves the requests of the connection one at a time, so that the responses keep their order. While responses
-         * are not read, requests wait.
+         * Serves one request of the connection, so that the responses keep their order and other connections have their
+         * turn. While responses are not read, requests wait.
          */
         private void serveNext() {
-            while (current == null
-                    && !queue.isEmpty()
-                    && !closing
-                    && context.channel().isWritable()) {
+            if (canServeNext()) {
                 current = queue.poll();
                 queuedBytes -= current.heldBytes();
                 lastRequestUs = clock.nowUs();
@@ -763,10 +777,20 @@
             if (errorStatus != null && current == null && queue.isEmpty() && !closing) {
                 sendErrorAndClose(errorStatus);
             }
+            if (canServeNext()) {
+                serveInNextPass(this);
+            }
             updateAutoRead();
             updateMemory();
         }
 
+        private boolean canServeNext() {
+            return current == null
+                    && !queue.isEmpty()
+                    && !closing
+                    && context.channel().isWritable();
+        }
+
         private void serve(final Request request) {
             final String path = request.head().uri();
             if (path.equals("/up")) {
@@ -878,7 +902,7 @@
             final boolean morePending = !queue.isEmpty() || requestStarted || reading || errorStatus != null;
             final boolean keepAlive = HttpUtil.isKeepAlive(current.head())
                     && !protocolError
-                    && (morePending || !shuttingDown && !isDrained());
+                    && (morePending || !shuttingDown && !isDrained() || hasUnreadInput());
             current = null;
             currentId = null;
             lastActivityUs = clock.nowUs();
@@ -895,7 +919,9 @@
             }
             final ChannelFuture written = context.writeAndFlush(response);
             if (keepAlive) {
-                context.executor().execute(this::serveNext);
+                if (!queue.isEmpty() || errorStatus != null) {
+                    serveInNextPass(this);
+                }
             } else {
                 closing = true;
                 dropInput();
--- a/src/test/java/railspar/node/ConnectionLimitTest.java
+++ b/src/test/java/railspar/node/ConnectionLimitTest.java
@@ -142,4 +142,55 @@
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_INTERVAL_MS));
         }
     }
+
+    /** Guards against clients whose requests at full speed are all answered before another client's only one. */
+    @Test
+    void oneRequestDoesNotWaitForAllThatOtherClientsHaveSentAtOnce() throws Exception {
+        final int others = 40;
+        final int requests = 100;
+        final String healthCheck = "GET /up HTTP/1.1\r\nHost: backend.local\r\n\r\n";
+        fixture.start();
+        connectPeers(others, healthCheck);
+        for (final Socket peer : peers) {
+            assertEquals(200, CourierProcessFixture.read(peer.getInputStream()).status());
+        }
+        final int answerBytes = healthCheckAnswerBytes(healthCheck);
+        try (Socket ordinary = fixture.connect()) {
+            assertEquals(
+                    202,
+                    CourierProcessFixture.send(ordinary, CourierProcessFixture.message("first", "safe"))
+                            .status());
+            fixture.signal("STOP");
+            for (final Socket peer : peers) {
+                write(peer, healthCheck.repeat(requests));
+            }
+            write(ordinary, CourierProcessFixture.message("second", "safe"));
+            fixture.signal("CONT");
+            while (ordinary.getInputStream().available() == 0) {
+                Thread.onSpinWait();
+            }
+            int before = 0;
+            for (final Socket peer : peers) {
+                before += peer.getInputStream().available() / answerBytes;
+            }
+            assertEquals(
+                    202, CourierProcessFixture.read(ordinary.getInputStream()).status());
+            assertTrue(before < others * requests / 10, before + " requests were answered first");
+        }
+        for (final Socket peer : peers) {
+            for (int index = 0; index < requests; index++) {
+                assertEquals(
+                        200, CourierProcessFixture.read(peer.getInputStream()).status());
+            }
+        }
+        closePeers();
+    }
+
+    private int healthCheckAnswerBytes(final String healthCheck) throws IOException {
+        try (Socket socket = fixture.connect()) {
+            final String closing = healthCheck.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+            write(socket, closing);
+            return socket.getInputStream().readAllBytes().length - "connection: close\r\n".length();
+        }
+    }
 }
