--- a/src/test/java/railspar/node/ConnectionLimitTest.java
+++ b/src/test/java/railspar/node/ConnectionLimitTest.java
@@ -166,7 +166,9 @@
             }
             write(ordinary, CourierProcessFixture.message("second", "safe"));
             fixture.signal("CONT");
+            final long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(CourierProcessFixture.TIMEOUT_S);
             while (ordinary.getInputStream().available() == 0) {
+                assertTrue(System.nanoTime() < deadlineNs, "the ordinary request was not answered: " + fixture.log);
                 Thread.onSpinWait();
             }
             int before = 0;
